Send cold servers what they can do by then, counted for warm servers' worth

Cause: _cold_allows gave the rising part of the present flow to a warm server, by the least capacity that any server may start with, in a bucket that mostly stood full, and a newcomer was drawn at half the mean share, so what the budget allowed was not drawn. _warm_flow counted what cold servers took as if the warm ones bore it.

The rule allows four times.

Ruled out: the inner tier (30 to 70 ms throughout), CPU, connections and discovery.

--- a/fawngw/decide.py
+++ b/fawngw/decide.py
@@ -61,7 +61,7 @@
 THETA_MOST = 0.1  # of alpha: the averages must stay well ahead of the shares of servers
 THETA_KIND_MOST = 1 / 3  # of alpha: the shares of kinds rest on the averages of many servers
 FLOOR_SHARE = 0.4  # p_min = this / r; also pulls shares that latency cannot tell apart back to uniform
-NEWCOMER_SHARE = 0.5  # a newcomer's part of the mean share until it has shown what it can do
+NEWCOMER_SHARE = 1.0  # a newcomer's part of the mean share; while it is cold its budget bounds it
 CHARGE_CAP = 3.0  # a failure enters an average at no more than this many means: silence lifts no threshold
 
 # Server health, always against peers.
@@ -95,6 +95,10 @@
 
 WAITING_MOST = 4.0  # calls that may wait at a server, over all nodes, by its average against the calmest
 
+# What is told of a cold server's capacity is the least of any: most have half as much again, and fleets
+# have room to spare while they are calm, which is when a warm server's part is learned.
+COLD_TIMES = 1.5
+
 # Admission.
 TARGET = 0.4  # latencies are kept below this part of the aim, less for inner tiers
 TARGET_TIMES = 1.6  # and this many times the calmest lateness, where the aim leaves little room
@@ -680,9 +684,10 @@
         for i, server in enumerate(self._arms):
             if not self._permitted(request, server):
                 continue
-            if self._is_cold(server):
+            ramp = self._ramp(server)
+            if ramp < 1.0:
                 flow = self._warm_flow() if flow is None else flow
-                if not self._cold_allows(server, request.units, flow):
+                if not self._cold_allows(server, ramp, request.units, flow):
                     continue
             if not server.classes[request.class_index].open(self._now):
                 unhealthy += (
@@ -782,25 +787,27 @@
             return server.entry.zone == first.zone
         return kind.group is RepeatGroup.ALL or server.entry.cell == first.cell
 
-    def _is_cold(self, server: Server) -> bool:
-        start = server.entry.started_ms
-        return start > 0 and self._now - start < self.settings.cold_ms
+    def _ramp(self, server: Server) -> float:
+        """The part of its capacity that a server has at the least by now: 1 once it is warm."""
+        start, low = server.entry.started_ms, self.settings.cold_start_share
+        age = max(self._now - start, 0.0)
+        if start <= 0 or age >= self.settings.cold_ms:
+            return 1.0
+        return low + (1.0 - low) * age / self.settings.cold_ms
 
     def _warm_flow(self) -> float:
-        """Units a millisecond that this node sends a warm server; over all servers while none is warm."""
-        warm = sum(1 for s in self._arms if not self._is_cold(s))
-        return self._sent.per_ms(self._now) / (warm or len(self._arms))
+        """Units a millisecond that this node sends for each warm server's worth of capacity."""
+        return self._sent.per_ms(self._now) / max(sum(self._ramp(s) for s in self._arms), 1e-9)
 
-    def _cold_allows(self, server: Server, units: float, flow: float) -> bool:
-        """Rule 4: a cold server gets the rising part of what this node sends a warm one.
+    def _cold_allows(self, server: Server, ramp: float, units: float, flow: float) -> bool:
+        """Rule 4: a cold server gets the rising part of what this node sends a warm one, and COLD_TIMES that.
 
         Every node does so alone; together they then send it its part of what warm servers bear, which
-        leaves the multiple that the rule allows as a margin for chance and for heavy requests.
+        leaves the rest of the multiple that the rule allows as a margin for chance and for heavy requests.
         """
-        low, age = self.settings.cold_start_share, self._now - server.entry.started_ms
-        ramp = low + (1.0 - low) * max(age, 0.0) / self.settings.cold_ms
-        most = max(1.0, ramp * flow * self.settings.fall_window_ms)
-        server.tokens = min(most, server.tokens + ramp * flow * (self._now - server.tokens_at))
+        rate = COLD_TIMES * ramp * flow
+        most = max(1.0, rate * self.settings.fall_window_ms)
+        server.tokens = min(most, server.tokens + rate * (self._now - server.tokens_at))
         server.tokens_at = self._now
         return server.tokens >= min(units, most)
 
--- /dev/null
+++ b/tests/test_cold.py
@@ -0,0 +1,54 @@
+"""Cold servers: what a node sends them while they warm up."""
+
+from __future__ import annotations
+
+import pytest
+
+from fawngw.interface import ListKind, Outcome, RequestClass, ServerEntry, Settings
+from tests.checker import Surrounding
+
+COLD_MS = 20_000.0
+SETTINGS = Settings(
+    classes=(RequestClass("r", 1000, 3000),), cold_ms=COLD_MS, cold_start_share=0.2, fall_multiple=4.0
+)
+
+
+def fleet(warm: int, cold: int) -> Surrounding:
+    """A node that has long sent 20 calls a second to each of its servers, when some are replaced."""
+    play = Surrounding(SETTINGS, seed=4)
+    names = [bytes([n]) for n in range(warm + cold)]
+    play.list_of([ServerEntry(name) for name in names])
+    serve(play, 4.0, 20 * (warm + cold))
+    started = [ServerEntry(name, started_ms=play.now) for name in names[warm:]]
+    play.list_of(started, ListKind.CHANGES)
+    return play
+
+
+def serve(play: Surrounding, seconds: float, per_s: int) -> list[bytes]:
+    """Play an even stream of calls that are answered at once; the servers that got them."""
+    got = []
+    for _ in range(int(seconds * per_s)):
+        play.step(1000.0 / per_s)
+        request = play.arrive()
+        for number in list(play.live(request)):
+            got.append(play.owed[request].attempts[number].entry.server)
+            play.end(request, number, Outcome.OK)
+    return got
+
+
+def test_a_warm_servers_flow_is_counted_for_each_warm_servers_worth_of_capacity() -> None:
+    """Seen when six in ten are replaced: all that is sent, over the few warm ones, is more than one bears."""
+    play = fleet(warm=2, cold=2)
+    balancer = play.balancer
+    balancer._now = play.now + 0.5 * COLD_MS
+    each = balancer._sent.per_ms(balancer._now) / (2 + 2 * 0.6)
+    assert balancer._warm_flow() == pytest.approx(each)
+
+
+def test_a_cold_server_is_used_for_what_it_can_do() -> None:
+    """Seen when six in ten are replaced: cold servers got a third of what they could do while the warm ones
+    were driven into the ground."""
+    play = fleet(warm=9, cold=1)
+    got = serve(play, 4.0, 200).count(bytes([9])) / 4.0
+    ramp = 0.2 + 0.8 * 2.0 / 20.0  # in the middle of these seconds
+    assert 1.2 * ramp * 20.0 < got < 4.0 * ramp * 20.0
