Bound the calls out by the capacity that the list tells, cold servers by what they can do

Cause: _has_room held against _limit alone, which was learned from the servers of a while ago and may grow to LIMIT_START * least, twice what a node starts with; _part counted a cold server as a whole one. The list tells the loss at once, latencies two seconds later, when all nodes have pushed the rest over together.

Now calls out keep below LIMIT_START for each warm server's worth of listed capacity, the front's nodes sharing that. What they may hold at the start is the most they hold.

--- a/fawngw/decide.py
+++ b/fawngw/decide.py
@@ -117,7 +117,9 @@
 GROW_TIMES = 1.65  # calls out for each that the best rate needs at the calmest latency: no growth beyond
 LIMIT_DEPTH = 1.2  # margin over the calls out that the best recent rate needs at the calmest latency
 PEAK_FADE = 4.0  # the best rate fades over this many aims
-LIMIT_START = 6.0  # calls out for each server before anything is known, so that a restart opens no flood
+# Calls out for each warm server's worth of listed capacity, at the start and at the most: more than about as
+# many wait in a crowd that slows a server down for long, and nothing tells how many those are.
+LIMIT_START = 6.0
 LIMIT_START_UP = 1.2  # and its growth for each mean latency until the first strain
 HOLD = 0.1  # part of the aim that a request may wait here for a place: a refused client tries again in time
 RECHECK = 0.02  # part of the aim between looks at waiting requests
@@ -396,6 +398,7 @@
         self._servers: dict[ServerId, Server] = {}
         self._home: list[bool] = []  # in the same order: whether the node keeps to this server
         self._arms: list[Server] = []  # in the automaton's order
+        self._all_warm_at = 0.0
         self._requests: dict[RequestId, Request] = {}
         self._attempts: dict[tuple[RequestId, int], tuple[Server, Attempt]] = {}
         self._queue: list[tuple[float, int, Request]] = []  # by worth, then age
@@ -530,6 +533,7 @@
         }
         self.automaton.resize(weights, {name: self._servers[name].entry.kind for name in weights})
         self._arms = [self._servers[name] for name in self.automaton.servers]
+        self._all_warm_at = max((s.entry.started_ms for s in self._arms), default=0.0) + self.settings.cold_ms
         self._choose_home()
         if not self._strained:
             # All nodes of the tier start alike: each takes its part of what the fleet may hold.
@@ -659,8 +663,11 @@
         Where many nodes share few calls the limit is a few calls or less than one: whole numbers would let
         out far too many or too few over all nodes, so each request carries the chance that settles the
         fraction.
+
+        The limit was learned from the servers of a while ago.  What the list tells of fewer or colder ones
+        counts at once: latencies tell it seconds later, when all nodes have pushed the rest over.
         """
-        return len(self._attempts) + request.chance < self._limit
+        return len(self._attempts) + request.chance < min(self._limit, LIMIT_START * self._part())
 
     def _place(self, request: Request, last_resort: bool) -> bool:
         pool = self._pool(request, last_resort)
@@ -795,9 +802,15 @@
             return 1.0
         return low + (1.0 - low) * age / self.settings.cold_ms
 
+    def _capacity(self) -> float:
+        """What the listed servers can do by now at the least, in warm servers."""
+        if self._now >= self._all_warm_at:
+            return float(len(self._arms))
+        return sum(self._ramp(s) for s in self._arms)
+
     def _warm_flow(self) -> float:
         """Units a millisecond that this node sends for each warm server's worth of capacity."""
-        return self._sent.per_ms(self._now) / max(sum(self._ramp(s) for s in self._arms), 1e-9)
+        return self._sent.per_ms(self._now) / self._capacity()
 
     def _cold_allows(self, server: Server, ramp: float, units: float, flow: float) -> bool:
         """Rule 4: a cold server gets the rising part of what this node sends a warm one, and COLD_TIMES that.
@@ -1156,7 +1169,7 @@
         Further in a node limits itself by the whole fleet: what it sends was admitted at the front, and a
         call held back there costs all the work done for it so far.
         """
-        return max(1.0, len(self._arms) / self._sharers)
+        return max(1.0, self._capacity() / self._sharers)
 
     def _calm_down(self, latency: float) -> None:
         """Remember the mean latency of the calmest time: what the service takes when nothing queues."""
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from fawngw.interface import ListKind, Outcome, RequestClass, ServerEntry, Settings
+from fawngw.interface import ListKind, Outcome, Readiness, RequestClass, ServerEntry, Settings
 from tests.checker import Surrounding
 
 COLD_MS = 20_000.0
@@ -52,3 +52,16 @@
     got = serve(play, 4.0, 200).count(bytes([9])) / 4.0
     ramp = 0.2 + 0.8 * 2.0 / 20.0  # in the middle of these seconds
     assert 1.2 * ramp * 20.0 < got < 4.0 * ramp * 20.0
+
+
+def test_calls_out_follow_the_capacity_that_is_listed() -> None:
+    """Seen when six in ten are replaced: the limit learned from ten servers let 13 calls out to each of the
+    rest, and by the time latencies told so the rest had turned slow for good."""
+    play = fleet(warm=8, cold=0)
+    before = sum(1 for r in [play.arrive() for _ in range(60)] for _ in play.live(r))
+    play.list_of([ServerEntry(bytes([n]), Readiness.GONE) for n in range(4)], ListKind.CHANGES)
+    while out := [(r, n) for r in list(play.open) for n in play.live(r)]:
+        play.end(*out[0], Outcome.OK)
+    after = sum(1 for r in [play.arrive() for _ in range(60)] for _ in play.live(r))
+    assert before >= 6 * 8 - 1
+    assert 6 * 4 - 3 <= after <= 6 * 4
