--- a/fawngw/decide.py
+++ b/fawngw/decide.py
@@ -117,8 +117,8 @@
 GROW_TIMES = 1.65  # calls out for each that the best rate needs at the calmest latency: no growth beyond
 LIMIT_DEPTH = 1.2  # margin over the calls out that the best recent rate needs at the calmest latency
 PEAK_FADE = 4.0  # the best rate fades over this many aims
-# Calls out for each warm server's worth of listed capacity, at the start and at the most: more than about as
-# many wait in a crowd that slows a server down for long, and nothing tells how many those are.
+# Calls out for each warm server's worth of capacity, at the start and at the most.  A server at which more than
+# some few wait for seconds turns slow for long; how many that takes is told nowhere.
 LIMIT_START = 6.0
 LIMIT_START_UP = 1.2  # and its growth for each mean latency until the first strain
 # Part of the aim that a request may wait here for a place.  A refused client tries again in time; one that
@@ -817,7 +817,7 @@
         return self._sent.per_ms(self._now) / self._capacity()
 
     def _cold_allows(self, server: Server, ramp: float, units: float, flow: float) -> bool:
-        """Rule 4: a cold server gets the rising part of what this node sends a warm one, and COLD_TIMES that.
+        """Rule 4: a cold server gets the rising part of what this node sends a warm one, times COLD_TIMES.
 
         Every node does so alone; together they then send it its part of what warm servers bear, which
         leaves the rest of the multiple that the rule allows as a margin for chance and for heavy requests.
