--- a/fawngw/decide.py
+++ b/fawngw/decide.py
@@ -117,8 +117,8 @@
 GROW_TIMES = 1.65  # calls out for each that the best rate needs at the calmest latency: no growth beyond
 LIMIT_DEPTH = 1.2  # margin over the calls out that the best recent rate needs at the calmest latency
 PEAK_FADE = 4.0  # the best rate fades over this many aims
-# Calls out for each warm server's worth of capacity, at the start and at the most.  A server at which more than
-# some few wait for seconds turns slow for long; how many that takes is told nowhere.
+# Calls out for each warm server's worth of capacity, at the start and at the most.  A server at which
+# more than some few wait for seconds turns slow for long; how many that takes is told nowhere.
 LIMIT_START = 6.0
 LIMIT_START_UP = 1.2  # and its growth for each mean latency until the first strain
 # Part of the aim that a request may wait here for a place.  A refused client tries again in time; one that
