Sum the capacity in one way, and only where the limit itself leaves room

_capacity held the same sum twice, chosen by a time kept from the last list; _ramp gives 1 for a warm server anyway, so the copy and the kept time go. _has_room looks at the limit first, so that a request that finds no place by that costs no walk over the fleet.

--- a/fawngw/decide.py
+++ b/fawngw/decide.py
@@ -117,8 +117,8 @@
 GROW_TIMES = 1.65  # calls out for each that the best rate needs at the calmest latency: no growth beyond
 LIMIT_DEPTH = 1.2  # margin over the calls out that the best recent rate needs at the calmest latency
 PEAK_FADE = 4.0  # the best rate fades over this many aims
-# Calls out for each warm server's worth of capacity, at the start and at the most.  A server at which
-# more than some few wait for seconds turns slow for long; how many that takes is told nowhere.
+# Calls out for each warm server's worth of capacity, at the start, so that a restart opens no flood, and at
+# the most.  A server at which more than a few wait for seconds turns slow for long; how many is not told.
 LIMIT_START = 6.0
 LIMIT_START_UP = 1.2  # and its growth for each mean latency until the first strain
 # Part of the aim that a request may wait here for a place.  A refused client tries again in time; one that
@@ -400,7 +400,6 @@
         self._servers: dict[ServerId, Server] = {}
         self._home: list[bool] = []  # in the same order: whether the node keeps to this server
         self._arms: list[Server] = []  # in the automaton's order
-        self._all_warm_at = 0.0
         self._requests: dict[RequestId, Request] = {}
         self._attempts: dict[tuple[RequestId, int], tuple[Server, Attempt]] = {}
         self._queue: list[tuple[float, int, Request]] = []  # by worth, then age
@@ -535,7 +534,6 @@
         }
         self.automaton.resize(weights, {name: self._servers[name].entry.kind for name in weights})
         self._arms = [self._servers[name] for name in self.automaton.servers]
-        self._all_warm_at = max((s.entry.started_ms for s in self._arms), default=0.0) + self.settings.cold_ms
         self._choose_home()
         if not self._strained:
             # All nodes of the tier start alike: each takes its part of what the fleet may hold.
@@ -669,7 +667,8 @@
         The limit was learned from the servers of a while ago.  What the list tells of fewer or colder ones
         counts at once: latencies tell it seconds later, when all nodes have pushed the rest over.
         """
-        return len(self._attempts) + request.chance < min(self._limit, LIMIT_START * self._part())
+        out = len(self._attempts) + request.chance
+        return out < self._limit and out < LIMIT_START * self._part()
 
     def _place(self, request: Request, last_resort: bool) -> bool:
         pool = self._pool(request, last_resort)
@@ -799,18 +798,13 @@
     def _ramp(self, server: Server) -> float:
         """The part of its capacity that a server has at the least by now: 1 once it is warm."""
         start, low = server.entry.started_ms, self.settings.cold_start_share
-        age = max(self._now - start, 0.0)
-        if start <= 0 or age >= self.settings.cold_ms:
+        if start <= 0 or self._now - start >= self.settings.cold_ms:
             return 1.0
-        return low + (1.0 - low) * age / self.settings.cold_ms
+        return low + (1.0 - low) * max(self._now - start, 0.0) / self.settings.cold_ms
 
     def _capacity(self) -> float:
         """What the servers that may be called can do by now at the least, in warm servers."""
-        if self._now >= self._all_warm_at:
-            fit = sum(1.0 for s in self._arms if not s.ejected)
-        else:
-            fit = sum(self._ramp(s) for s in self._arms if not s.ejected)
-        return max(fit, 1.0)
+        return max(1.0, sum(self._ramp(s) for s in self._arms if not s.ejected))
 
     def _warm_flow(self) -> float:
         """Units a millisecond that this node sends for each warm server's worth of capacity."""
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -36,6 +36,12 @@
     return got
 
 
+def settle(play: Surrounding) -> None:
+    """Answer what is out, and what is sent from the queue as that makes room, until nothing is out."""
+    while out := [(r, n) for r in list(play.open) for n in play.live(r)]:
+        play.end(*out[0], Outcome.OK)
+
+
 def test_a_warm_servers_flow_is_counted_for_each_warm_servers_worth_of_capacity() -> None:
     """Seen when six in ten are replaced: all that is sent, over the few warm ones, is more than one bears."""
     play = fleet(warm=2, cold=2)
@@ -60,8 +66,7 @@
     play = fleet(warm=8, cold=0)
     before = sum(1 for r in [play.arrive() for _ in range(60)] for _ in play.live(r))
     play.list_of([ServerEntry(bytes([n]), Readiness.GONE) for n in range(4)], ListKind.CHANGES)
-    while out := [(r, n) for r in list(play.open) for n in play.live(r)]:
-        play.end(*out[0], Outcome.OK)
+    settle(play)
     after = sum(1 for r in [play.arrive() for _ in range(60)] for _ in play.live(r))
     assert before >= 6 * 8 - 1
     assert 6 * 4 - 3 <= after <= 6 * 4
@@ -77,8 +82,7 @@
         for number in list(play.live(request)):
             hit = play.owed[request].attempts[number].entry.server in bad
             play.end(request, number, Outcome.RESET if hit else Outcome.OK)
-    while out := [(r, n) for r in list(play.open) for n in play.live(r)]:
-        play.end(*out[0], Outcome.OK)
+    settle(play)
     requests = [play.arrive() for _ in range(60)]
     play.step(150.0)  # what waited has gone out as a last resort, as far as the bound lets it
     assert 6 * 6 - 3 <= sum(1 for r in requests for _ in play.live(r)) <= 6 * 6
