See a client leave also where its connection is not read or an answer is still on its way

Seen by reading, then measured: CallerConnection._pace stops reading with two requests open or an unread answer, and then no end of file is delivered. Without the change the tests hang until their requests' own deadlines (600 s there): "failed ... is_not_read_is_seen_to_leave" for a close, a reset and a half-close alike. And eof_received left the requests open until the transport had written what it held, which a caller that does not read can put off for 10 s.

Checked: whether a look at the socket tells it.

Ruled out: reading on into a buffer, which bounds nothing without a pause of its own.

At fault: _pace and eof_received. Paused connections, and only those, are looked at every 0.1 s; an end is treated as eof_received does, which ends the requests at once.

--- a/fawngw/node/callers.py
+++ b/fawngw/node/callers.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import re
+import select
 import time
 from collections import deque
 from collections.abc import Callable
@@ -35,6 +36,9 @@
 LONGEST_DEADLINE_S = 3600.0
 HINT_MOST_US = 1e9
 SWEEP_S = 0.25
+# Where reading is paused nothing tells that the caller has left but a look at the socket: what waits for such
+# a caller must not be sent on 0.3 s later.
+LEFT_CHECK_S = 0.1
 # A usual caller connects because it has a request.  One that has not sent a whole one by now is answered or
 # closed: with the sweep's and the network's time that is within the 3 s that it is owed.
 FIRST_S = 2.25
@@ -253,8 +257,25 @@
             self._transport.close()
 
     def eof_received(self) -> bool:
+        """The caller has closed: nothing more is done for it, but what was written before may still leave."""
+        self._over = True
+        self._leave()
         return False
 
+    def has_left(self) -> bool:
+        """Whether the caller's end has closed, seen past whatever it sent before and was not read."""
+        if self._transport is None or self._transport.is_closing():
+            return False  # connection_lost tells of these
+        poll = select.poll()
+        poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+        return bool(poll.poll(0))
+
+    def end_left(self) -> None:
+        """What eof_received does, where the end itself is not read."""
+        self.eof_received()
+        if self._transport is not None:
+            self._transport.close()
+
     def connection_lost(self, exc: Exception | None) -> None:
         self._transport = None
         self.callers.closed(self)
@@ -283,8 +304,10 @@
             return
         if self._choked or self._ignored > IGNORED_MOST or len(self._exchanges) >= PACE_PIPELINED:
             self._transport.pause_reading()
+            self.callers.paused(self)
         elif not self._transport.is_reading():
             self._transport.resume_reading()
+            self.callers.resumed(self)
 
 
 class Callers:
@@ -310,7 +333,9 @@
         self._bytes = 0
         self._loop = asyncio.get_running_loop()
         self._open: set[CallerConnection] = set()
+        self._unread: set[CallerConnection] = set()  # those whose reading is paused
         self._server: asyncio.Server | None = None
+        self._left_check: asyncio.TimerHandle | None = None
         self._sweeper = self._loop.call_later(SWEEP_S, self._sweep)
 
     async def listen(self, address: tuple[str, int]) -> tuple[str, int]:
@@ -338,6 +363,24 @@
 
     def closed(self, connection: CallerConnection) -> None:
         self._open.discard(connection)
+        self._unread.discard(connection)
+
+    def paused(self, connection: CallerConnection) -> None:
+        """From now on only a look at its socket tells that this caller has left."""
+        self._unread.add(connection)
+        if self._left_check is None:
+            self._left_check = self._loop.call_later(LEFT_CHECK_S, self._check_left)
+
+    def resumed(self, connection: CallerConnection) -> None:
+        self._unread.discard(connection)
+
+    def _check_left(self) -> None:
+        self._left_check = None
+        for connection in [c for c in self._unread if c.has_left()]:
+            self._unread.discard(connection)
+            connection.end_left()
+        if self._unread:
+            self._left_check = self._loop.call_later(LEFT_CHECK_S, self._check_left)
 
     def crowded(self) -> bool:
         """More connections than the limit, and none idle to close: what comes now is refused."""
@@ -381,6 +424,8 @@
 
     def close(self) -> None:
         self._sweeper.cancel()
+        if self._left_check is not None:
+            self._left_check.cancel()
         if self._server is not None:
             self._server.close()
         for connection in list(self._open):
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -6,13 +6,30 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
+from collections.abc import Callable
 from typing import Any
 
 import pytest
 
 from fawngw.interface import Action, AttemptEnded, Event, Outcome, TimerFired
+from fawngw.node.callers import PACE_PIPELINED
 from fawngw.node.node import Node
-from tests.stubs import PATIENCE_S, StubServer, held, reply, request, row, run, settings, until, world
+from tests.stubs import (
+    PATIENCE_S,
+    Caller,
+    StubServer,
+    held,
+    reply,
+    request,
+    row,
+    run,
+    settings,
+    silent,
+    until,
+    world,
+)
 
 
 class LateConnections:
@@ -72,6 +89,46 @@
 # ---------------------------------------------------------------- a client's departure
 
 
+def _bookings(count: int) -> bytes:
+    """Requests that do not end by themselves while a test runs."""
+    return b"".join(request("book", deadline="600") for _ in range(count))
+
+
+def _reset(caller: Caller) -> None:
+    os_socket = caller.writer.get_extra_info("socket")
+    os_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    caller.close()
+
+
+@pytest.mark.parametrize(
+    "leave", [Caller.close, _reset, lambda caller: caller.writer.write_eof()], ids=["close", "reset", "eof"]
+)
+def test_a_client_that_leaves_while_its_connection_is_not_read_is_seen_to_leave(
+    leave: Callable[[Caller], None],
+) -> None:
+    """Two answers are due, a third request lies unread, and the client's end lies behind that."""
+
+    async def main() -> None:
+        async with StubServer([held(reply("200 OK"))]) as server, world(row("a", server.address)) as w:
+            caller = await w.caller()
+            caller.writer.write(_bookings(2))
+            await until(lambda: len(server.received) == PACE_PIPELINED)
+            (connection,) = w.node._callers._open
+            assert connection._transport is not None and not connection._transport.is_reading()
+            caller.writer.write(_bookings(1))
+            await caller.writer.drain()
+            leave(caller)
+            await until(lambda: not w.node._requests)
+            await until(lambda: not w.node._callers._open)
+            server.release.set()
+            await until(lambda: not w.node._calls)
+            assert (await (await w.caller()).ask("look")).status == 200
+            assert len(server.received) == PACE_PIPELINED + 1, "what nobody waited for was sent on"
+            assert not w.node._callers._unread
+
+    run(main())
+
+
 @pytest.mark.parametrize("cancel", [True, False])
 def test_an_attempt_whose_connection_comes_up_after_the_client_left_is_not_written(
     cancel: bool, monkeypatch: pytest.MonkeyPatch
@@ -98,6 +155,32 @@
     run(main())
 
 
+def test_a_client_that_leaves_with_an_answer_still_on_its_way_ends_what_waits_behind_it() -> None:
+    async def main() -> None:
+        behaviours = [reply("200 OK", b"x" * 60_000), silent]
+        async with StubServer(behaviours) as server, world(row("a", server.address)) as w:
+            with socket.socket() as caller:
+                caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+                caller.setblocking(False)
+                loop = asyncio.get_running_loop()
+                await loop.sock_connect(caller, w.address)
+                (connection,) = await until(lambda: list(w.node._callers._open))
+                assert connection._transport is not None
+                os_socket = connection._transport.get_extra_info("socket")
+                os_socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2048)
+                await loop.sock_sendall(caller, request("look"))
+                await until(lambda: connection._answered)
+                assert connection._unsent(), "the test needs an answer that does not fit the buffers"
+                await loop.sock_sendall(caller, _bookings(1))
+                await until(lambda: len(server.received) == 2)
+                caller.shutdown(socket.SHUT_WR)
+                await until(lambda: not w.node._requests)
+                assert connection._unsent(), "the test needs an answer that is still on its way"
+                server.release.set()
+
+    run(main())
+
+
 @pytest.mark.parametrize("cancel", [True, False])
 def test_a_second_copy_whose_connection_comes_up_after_the_answer_is_not_written(
     cancel: bool, monkeypatch: pytest.MonkeyPatch
