Open a silent watch anew in time, read lists over lines, and know a garbled one at once

Lists were split at line breaks, which an indented one does not survive: "discovery: bad line" for each, and never a list. After a second SIGHUP the pause of the first move opened one more watch, whose end dropped the good one.

At fault: the constants in discovery.py, _Watch.on_body, Discovery._succeed. Silence is two missing lines and half a second; what delays a pushed list is a part of the grace in the settings; objects are cut by brackets, in a module of its own, in time linear in the input. Figures that overflow or are no number no longer pass for a list.

--- a/fawngw/node/config.py
+++ b/fawngw/node/config.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from fawngw.interface import ImpossibleSettings, Settings
-from fawngw.node.discovery import ListError, Listing, Naming
+from fawngw.node.discovery import ListError, Listing, Naming, parse_address
 from fawngw.settings import SettingsError, read_settings
 
 _DEFAULT_CONN_IDLE_MS = 15_000.0
@@ -89,7 +89,7 @@
     try:
         with open(path, encoding="utf-8") as file:
             raw = json.load(file)
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         raise ConfigError(f"NODE_CONFIG: {path} cannot be read: {error}") from None
     if not isinstance(raw, dict):
         raise ConfigError(f"NODE_CONFIG: {path} holds no object")
@@ -127,15 +127,6 @@
         raise ConfigError(f"{variable} is not an address and a port: {text!r}") from None
 
 
-def parse_address(text: str) -> tuple[str, int]:
-    """Host and port of 'host:port'; ValueError where there is none."""
-    host, _, port = text.rpartition(":")
-    number = int(port)
-    if not host or not 0 <= number < 65536:
-        raise ValueError(text)
-    return host, number
-
-
 def _known(raw: Any, naming: Naming) -> Listing | None:
     if raw is None:
         return None
--- a/fawngw/node/discovery.py
+++ b/fawngw/node/discovery.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import logging
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, cast
@@ -13,12 +14,21 @@
 import httptools
 
 from fawngw.interface import ListKind, Readiness, ServerEntry, ServerId, ServerList
+from fawngw.node.objects import GarbledError, Objects
 
 log = logging.getLogger(__name__)
 
-SILENCE_S = 7.0  # a watch sends an empty line every 2 s: after three missing ones its machine is cut off
-REWATCH_S = 0.25  # pause before the local agent is watched anew
-MAX_LINE = 4 * 1024 * 1024  # a list of some ten thousand servers
+HEARTBEAT_S = 2.0  # as long as nothing changes an empty line comes so often
+# What a silent watch misses counts as told 6 s after it fell silent.  Two lines that did not come, and a busy
+# moment more, leave a second and a half for a new watch and for one that fails as well.
+SILENCE_S = 2 * HEARTBEAT_S + 0.5
+CUT_S = 1.0  # an object that has begun comes in one go: one that does not go on has been cut off
+# A pushed list lies at the node's own machine, which answers at once and counts all that it has as told: what
+# delays it is taken from the time in which sending has to stop, and must leave most of it.
+ANSWER_PART = 0.4  # of that time: no answer yet to the call for a watch
+REWATCH_PART = 0.2  # of that time: pause before the next one
+ANSWER_LEAST_S, ANSWER_MOST_S = 0.1, 1.0
+REWATCH_LEAST_S, REWATCH_MOST_S = 0.05, 0.25
 
 _LIFECYCLES = {
     "SERVING": Readiness.READY,
@@ -61,26 +71,41 @@
             for item in instances:
                 entry = self._entry(item)
                 entries.append(entry)
-                host, _, port = item["hostPort"].rpartition(":")
-                addresses[entry.server] = (host, int(port))
+                addresses[entry.server] = parse_address(item["hostPort"])
             return Listing(int(raw["generation"]), bool(raw["reset"]), tuple(entries), addresses)
         except KeyError as error:
             raise ListError(f"{error} is missing or unknown") from None
-        except (TypeError, ValueError, AttributeError) as error:
+        except (TypeError, ValueError, AttributeError, OverflowError) as error:
             raise ListError(f"not a list of servers: {error}") from None
 
     def _entry(self, item: dict[str, Any]) -> ServerEntry:
         return ServerEntry(
             server=item["instanceId"].encode(),
             readiness=_LIFECYCLES[item["lifecycle"]],
-            capacity_hint=float(item.get("weight", 1.0)),
+            capacity_hint=_finite(item.get("weight", 1.0)),
             kind=_number(self.models, item.get("machineType", "")),
             zone=_number(self.zones, item.get("zone", "")),
             cell=_number((), item.get("cell", 0)),
-            started_ms=float(item.get("startedAtMs", 0)),
+            started_ms=_finite(item.get("startedAtMs", 0)),
         )
 
 
+def parse_address(text: str) -> tuple[str, int]:
+    """Host and port of 'host:port'; ValueError where there is none."""
+    host, _, port = text.rpartition(":")
+    number = int(port)
+    if not host or not 0 <= number < 65536:
+        raise ValueError(text)
+    return host, number
+
+
+def _finite(value: Any) -> float:
+    number = float(value)
+    if not math.isfinite(number):
+        raise ValueError(f"{value} is no number to reckon with")
+    return number
+
+
 def _number(names: tuple[str, ...], name: Any) -> int:
     """A name that the settings do not list still tells its servers from the others.
 
@@ -94,30 +119,22 @@
 
 
 class _Watch(asyncio.Protocol):
-    """One watch on one connection: whole lines out, then one call to ended, unless it was closed before."""
+    """One watch on one connection: whole objects out, then one call to ended, unless it was closed before."""
 
-    def __init__(
-        self,
-        address: tuple[str, int],
-        version: int,
-        call_s: float,
-        on_line: Callable[[_Watch, bytes], None],
-        on_ended: Callable[[_Watch], None],
-    ) -> None:
+    def __init__(self, owner: Discovery, address: tuple[str, int], version: int, answer_s: float) -> None:
         host, port = address
         self._request = b"GET /v1/endpoints?watch=1&from=%d HTTP/1.1\r\nHost: %s:%d\r\n\r\n" % (
             version,
             host.encode(),
             port,
         )
-        self._on_line = on_line
-        self._on_ended = on_ended
+        self._owner = owner
         self._parser = httptools.HttpResponseParser(self)
-        self._rest = b""
+        self._objects = Objects()
         self._over = False
         self._transport: asyncio.Transport | None = None
         self._loop = asyncio.get_running_loop()
-        self._timer = self._loop.call_later(call_s, self._end)
+        self._timer = self._loop.call_later(answer_s, self._end)
         self._opening = self._loop.create_task(self._open(host, port))
 
     async def _open(self, host: str, port: int) -> None:
@@ -137,7 +154,7 @@
     def _end(self) -> None:
         if not self._over:
             self.close()
-            self._on_ended(self)
+            self._owner.ended(self)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)  # uvloop's are no subclass
@@ -162,17 +179,27 @@
             self._end()
 
     def on_body(self, part: bytes) -> None:
-        *whole, self._rest = (self._rest + part).split(b"\n")
-        for line in whole:
-            if self._over:
-                return
-            # A cut link says nothing: without a word in this time the watch has failed.
-            self._timer.cancel()
-            self._timer = self._loop.call_later(SILENCE_S, self._end)
-            self._on_line(self, line)
-        if len(self._rest) > MAX_LINE:
-            log.warning("discovery: a line of more than %d bytes", MAX_LINE)
+        if self._over:
+            return
+        try:
+            for text in self._objects.feed(part):
+                self._owner.take(self, text)
+                if self._over:
+                    return
+        except (GarbledError, ListError) as error:
+            log.warning("discovery: the watch begins again, as a list cannot be read: %s", error)
             self._end()
+            return
+        self._owner.spoke(self)
+        # A cut link says nothing: without a word in its time the watch has failed.
+        if not self._objects.within:
+            self._expect(SILENCE_S)
+        elif part.strip():  # the blank lines between objects are no part of one
+            self._expect(CUT_S)
+
+    def _expect(self, seconds: float) -> None:
+        self._timer.cancel()
+        self._timer = self._loop.call_later(seconds, self._end)
 
     def on_message_complete(self) -> None:
         self._end()
@@ -193,13 +220,18 @@
         *,
         pushed: bool,
         call_s: float,
+        grace_s: float,
         on_list: Callable[[Listing], None],
         on_failed: Callable[[], None],
     ) -> None:
         self._address = address
         self._naming = naming
         self._pushed = pushed
-        self._call_s = call_s
+        self._answer_s = call_s
+        self._rewatch_s = _within(REWATCH_PART * grace_s, REWATCH_LEAST_S, REWATCH_MOST_S)
+        if pushed:
+            self._answer_s = min(call_s, _within(ANSWER_PART * grace_s, ANSWER_LEAST_S, ANSWER_MOST_S))
+        self.heard = False  # something has come from the agent since the start
         self._on_list = on_list
         self._on_failed = on_failed
         self._loop = asyncio.get_running_loop()
@@ -244,34 +276,40 @@
             self._timer = None
 
     def _begin(self) -> _Watch:
-        return _Watch(self._address, self._version, self._call_s, self._line, self._ended)
+        return _Watch(self, self._address, self._version, self._answer_s)
 
     def _succeed(self) -> None:
-        self._timer = None
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
         self._successor = self._begin()
 
-    def _line(self, watch: _Watch, line: bytes) -> None:
+    # What a watch tells.
+
+    def take(self, watch: _Watch, text: bytes) -> None:
+        """A whole object; ListError if it is no list."""
+        try:
+            listing = self._naming.read(json.loads(text))
+        except ValueError as error:
+            raise ListError(str(error)) from None
+        self.spoke(watch)
+        self._version = listing.version
+        self._on_list(listing)
+
+    def spoke(self, watch: _Watch) -> None:
+        """A sign of life: a successor takes over."""
+        self.heard = True
         if watch is self._successor:
             if self._watch is not None:
                 self._watch.close()
             self._watch, self._successor = watch, None
-        if not line.strip():
-            return
-        try:
-            listing = self._naming.read(json.loads(line))
-        except (ValueError, ListError) as error:
-            log.warning("discovery: bad line: %s", error)
-            watch.close()
-            self._ended(watch)
-            return
-        self._version = listing.version
-        self._on_list(listing)
 
-    def _ended(self, watch: _Watch) -> None:
+    def ended(self, watch: _Watch) -> None:
+        """A watch that was not dropped is over."""
         if watch is self._successor:
             self._successor = None
             if self._watch is not None:  # it still holds: time for another try
-                self._timer = self._loop.call_later(REWATCH_S, self._succeed)
+                self._timer = self._loop.call_later(self._rewatch_s, self._succeed)
                 return
         elif watch is self._watch:
             self._watch = None
@@ -279,6 +317,10 @@
                 return
         self.close()
         if self._pushed:
-            self._timer = self._loop.call_later(REWATCH_S, self.subscribe)
+            self._timer = self._loop.call_later(self._rewatch_s, self.subscribe)
         else:
             self._on_failed()
+
+
+def _within(value: float, least: float, most: float) -> float:
+    return min(max(value, least), most)
--- a/fawngw/node/node.py
+++ b/fawngw/node/node.py
@@ -124,6 +124,7 @@
             config.naming,
             pushed=not settings.ask_for_list,
             call_s=CALL_PART * settings.must_ask_ms / 1000.0,
+            grace_s=settings.drain_grace_ms / 1000.0,
             on_list=self._follow,
             on_failed=lambda: self._post(ServerList(ListKind.FAILED)),
         )
--- a/tests/stubs.py
+++ b/tests/stubs.py
@@ -212,6 +212,7 @@
     targets: list[str] = field(default_factory=list)
     watches: asyncio.Queue[asyncio.StreamWriter] = field(default_factory=asyncio.Queue)
     left: asyncio.Event = field(default_factory=asyncio.Event)  # a watch has ended
+    mute: bool = False  # watches are taken and not answered
 
     async def __aenter__(self) -> StubDiscovery:
         self._server = await asyncio.start_server(self._serve, HOST, 0)
@@ -224,7 +225,8 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         first, _ = await read_head(reader)
         self.targets.append(first.split(" ")[1])
-        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        if not self.mute:
+            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
         self.watches.put_nowait(writer)
         with contextlib.suppress(ConnectionError):
             await reader.read()
