Leave room for the calls in work where calls take long, not a fixed number for each server

A probe at Balancer._expire logged, for 4878 of 4923 requests that found no place,

limit False 6.9 part False 6.9 out 7.9 level 1320 calm inf strain 0.09

Answers take 1.3 s of an aim of 4.5 s there with nothing queued, so ten calls for each server are in work; the bound of LIMIT_START (6) for each was fitted to a site whose answers take 60 ms.

At fault: _has_room, and _feel, which lets nothing grow until the calmest latency is known, 20 mean latencies after the start. The bound is now what was answered in the calmest latency, times WORK_TIMES, where that is more than LIMIT_START, and LIMIT_START has half as much again with a third tier behind.

--- a/fawngw/decide.py
+++ b/fawngw/decide.py
@@ -118,8 +118,10 @@
 LIMIT_DEPTH = 1.2  # margin over the calls out that the best recent rate needs at the calmest latency
 PEAK_FADE = 4.0  # the best rate fades over this many aims
 # Calls out for each warm server's worth of capacity, at the start, so that a restart opens no flood, and at
-# the most.  A server at which more than a few wait for seconds turns slow for long; how many is not told.
+# the most where fewer are in work.  A server at which more than a few wait for seconds turns slow; how
+# many is not told.  It is right for two tiers: with more behind it a server holds more that wait for these.
 LIMIT_START = 6.0
+WORK_TIMES = 1.4  # and at the most for each call in work, where calls take long
 LIMIT_START_UP = 1.2  # and its growth for each mean latency until the first strain
 # Part of the aim that a request may wait here for a place.  A refused client tries again in time; one that
 # waits takes, when it is sent at last, the place of one that came later and would still be answered in time.
@@ -432,6 +434,7 @@
         self._usual = 0.0  # the same over about twenty answers
         self._answers = 0
         self._calm = math.inf
+        self._least_usual = math.inf  # stands for it until it is known
         self._served = Rate(self._aim)
         self._peak = 0.0  # best recent rate of answers a millisecond
         self._peak_at = 0.0
@@ -537,7 +540,7 @@
         self._choose_home()
         if not self._strained:
             # All nodes of the tier start alike: each takes its part of what the fleet may hold.
-            self._limit = max(self._limit, LIMIT_START * self._part())
+            self._limit = max(self._limit, self._start_limit())
 
     def _take_entry(self, entry: ServerEntry) -> None:
         server = self._servers.get(entry.server)
@@ -668,7 +671,25 @@
         counts at once: latencies tell it seconds later, when all nodes have pushed the rest over.
         """
         out = len(self._attempts) + request.chance
-        return out < self._limit and out < LIMIT_START * self._part()
+        # Until the calmest latency is known or strain was felt there is nothing to learn a limit from.
+        learned = self._strained or self._calm < math.inf
+        return out < self._bearable() and (out < self._limit or not learned)
+
+    def _bearable(self) -> float:
+        """Calls out that the servers bear by the list, however they are answered.
+
+        By Little's law as many are in work as are answered in the time that an answer takes when nothing
+        queues.  Where that is long they are more than a start's: a fleet whose answers took 1.3 s of an aim
+        of 4.5 s refused two of three requests on a calm day, with no strain at all.
+        """
+        calm = self._calm if self._calm < math.inf else self._least_usual
+        working = self._served.per_ms(self._now) * calm if calm < math.inf else 0.0
+        return max(self._start_limit(), WORK_TIMES * working)
+
+    def _start_limit(self) -> float:
+        """A server holds its slot while it waits for the tiers behind it: there is room for each."""
+        tiers = self.settings.stages - self.settings.stage
+        return LIMIT_START * max(1.0, tiers / 2) * self._part()
 
     def _place(self, request: Request, last_resort: bool) -> bool:
         pool = self._pool(request, last_resort)
@@ -1176,6 +1197,8 @@
         # The least of a short average lies far below any mean: what is calm is judged by a longer one.
         self._usual += max(STRAIN_STEP, 1.0 / self._answers) * (latency - self._usual)
         self._served.add(1.0, self._now)
+        if self._answers >= CALM_AFTER:
+            self._least_usual = min(self._least_usual, self._usual)
         fade = math.exp(-(self._now - self._peak_at) / (PEAK_FADE * self._aim))
         self._peak_at = self._now
         if self._calm_known():
@@ -1225,9 +1248,11 @@
             # While the aim is far, to no less than a node starts with: latencies are twice the calmest in a
             # burst of heavy work, and lower limits halved the rate of answers at a third of the aim, and
             # refused the rest.  It could hurt where servers bear far fewer calls than LIMIT_START.
-            floor = max(least, LIMIT_START * self._part()) if self._pressure < 1.0 else least
+            floor = max(least, self._start_limit()) if self._pressure < 1.0 else least
             self._limit = max(floor, enough, min(self._limit, reach) * down)
-        elif out >= 0.8 * self._limit and self._calm_known():  # no growth before calm is known
+        elif out >= 0.8 * self._limit and not self._calm_known():
+            self._limit = max(self._limit, self._bearable())  # no further growth before calm is known
+        elif out >= 0.8 * self._limit:
             grown = self._limit * (LIMIT_UP if self._strained else LIMIT_START_UP) + 1.0
             # By Little's law more calls out than this, at the best rate seen, mean a queue: latencies tell
             # so only after they have been suffered, and by then the limit had doubled once too often.
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -86,3 +86,31 @@
     requests = [play.arrive() for _ in range(60)]
     play.step(150.0)  # what waited has gone out as a last resort, as far as the bound lets it
     assert 6 * 6 - 3 <= sum(1 for r in requests for _ in play.live(r)) <= 6 * 6
+
+
+def _refused(latency_ms: float, stages: int, per_s: int) -> float:
+    """The part of an even stream that finds no place, where nothing queues and answers take this long."""
+    classes = (RequestClass("r", 4500, 9000),)
+    settings = Settings(classes, balancers=13, stages=stages, cold_ms=COLD_MS, answer_slack_ms=500.0)
+    play = Surrounding(settings, seed=4)
+    play.list_of([ServerEntry(bytes([n])) for n in range(15)])
+    for _ in range(20 * per_s):
+        play.step(1000.0 / per_s)
+        for request, number in [(r, n) for r in list(play.open) for n in play.live(r)]:
+            if play.now - play.owed[request].attempts[number].sent >= latency_ms:
+                play.end(request, number, Outcome.OK)
+        play.arrive()
+    settle(play)
+    return sum(not owed.attempts for owed in play.owed.values()) / len(play.owed)
+
+
+def test_calls_that_take_long_are_not_refused_for_their_number() -> None:
+    """Seen on a calm day of a fleet of three tiers: answers took 1.3 s of an aim of 4.5 s, the bound of six
+    for each server was below what is in work, and two of three requests were refused without any strain."""
+    assert _refused(latency_ms=1300.0, stages=3, per_s=9) < 0.1
+    assert _refused(latency_ms=1300.0, stages=2, per_s=9) < 0.2
+
+
+def test_calls_out_stay_bounded_where_nothing_is_answered() -> None:
+    """Only answers make room for more: calls that hang must not."""
+    assert _refused(latency_ms=60_000.0, stages=3, per_s=9) > 0.8
