End by the settings' own deadlines, and be ready only on what the agent has told

Seen by reading: LAST_S was 3.4 s, right for deadlines of 3 s and more; SIGKILL comes at the longest deadline and 0.7 s, 1.1 s for one of 0.4 s, so what was taken late was cut off. At SIGTERM connections without an answer yet were closed (each a refusal), as were those with a request unread; the end did not see callers not yet accepted, and closed its connections a turn after it had decided to. A new process was ready on its known list, though what the agent has counts as told from the first moment.

Checked: tests/test_races.py forces each order on loopback sockets, while the loop stands still.

At fault: the constant in node.py, Node._end_when_quiet and wait, Callers.wind_down and busy, Node's readiness. The last has a bound of 1 s, for discovery that is down.

Still open: SIGHUP that arrives while the loop closes ends the process by that signal.

--- a/fawngw/node/callers.py
+++ b/fawngw/node/callers.py
@@ -28,6 +28,7 @@
     Reader,
     answer,
 )
+from fawngw.node.polling import polls
 
 log = logging.getLogger(__name__)
 
@@ -100,7 +101,7 @@
     def __init__(self, callers: Callers) -> None:
         self.callers = callers
         self.since = 0.0  # when it was opened, last became idle, or stopped reading
-        self._answered = False
+        self.answered = False
         self._usual = False  # it has brought a request that was taken
         self._reader = Reader(self._on_request, requests=True)
         self._transport: asyncio.Transport | None = None
@@ -168,7 +169,7 @@
             self._ignored += len(data)
             self._pace()
             return
-        if self._answered and self.idle():
+        if self.answered and self.idle():
             self.since = self.callers.now()
         try:
             self._reader.feed(data)
@@ -183,7 +184,7 @@
         exchange = Exchange(self, not message.keep_alive)
         self._exchanges.append(exchange)
         if exchange.close:
-            self._stop_reading()
+            self.stop_reading()
         try:
             if len(self._exchanges) > MOST_PIPELINED:
                 raise MessageError(400, "too many requests in a row")
@@ -197,7 +198,7 @@
 
     def _answer_early(self, status: int) -> None:
         """Answer what cannot be taken at once, whatever waits on this connection, then close."""
-        self._stop_reading()
+        self.stop_reading()
         if self._over:
             return
         self._leave()
@@ -213,13 +214,13 @@
             assert exchange.output is not None
             transport.write(exchange.output)
             self.since = self.callers.now()
-            self._answered = True
+            self.answered = True
             if exchange.close:
                 self._end()
                 return
         self._pace()
 
-    def _stop_reading(self) -> None:
+    def stop_reading(self) -> None:
         """No further request is taken: neither from what is being parsed nor from what comes."""
         self._deaf = True
         self._reader.stop()
@@ -228,7 +229,7 @@
         """Close after the last answer, once the caller has had the time to read it."""
         assert self._transport is not None
         self._over = True
-        self._stop_reading()
+        self.stop_reading()
         self._leave()
         if self._transport.can_write_eof():
             self._transport.write_eof()
@@ -264,11 +265,16 @@
 
     def has_left(self) -> bool:
         """Whether the caller's end has closed, seen past whatever it sent before and was not read."""
+        return self._polls(select.POLLRDHUP)
+
+    def unread(self) -> bool:
+        """Whether something has come in that will be read, and was not yet."""
+        return not self._deaf and self._polls(select.POLLIN)
+
+    def _polls(self, event: int) -> bool:
         if self._transport is None or self._transport.is_closing():
             return False  # connection_lost tells of these
-        poll = select.poll()
-        poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
-        return bool(poll.poll(0))
+        return polls(self._transport.get_extra_info("socket").fileno(), event)
 
     def end_left(self) -> None:
         """What eof_received does, where the end itself is not read."""
@@ -413,14 +419,30 @@
             connection.check(now)
 
     def wind_down(self) -> None:
-        """From now on every answer closes its connection, and idle ones are closed at once."""
+        """From now on every answer closes its connection, and idle ones are closed at once.
+
+        But not those that have had no answer yet: a caller connects because it has a request, and one whose
+        new connection is closed has been refused.  Nor those with a request that is only to be read.
+        """
         self.closing = True
-        for connection in [c for c in self._open if c.idle()]:
+        for connection in [c for c in self._open if c.idle() and c.answered and not c.unread()]:
             connection.close()
 
     def busy(self) -> bool:
-        """Whether a caller is still owed something, or is sending."""
-        return any(c.owes() for c in self._open)
+        """Whether a caller is still owed something, is sending, or waits to be heard."""
+        return any(c.owes() or c.unread() for c in self._open) or self._unaccepted()
+
+    def _unaccepted(self) -> bool:
+        """Whether a caller has connected and was not met yet: its request counts as taken already."""
+        server = self._server
+        return server is not None and any(polls(s.fileno(), select.POLLIN) for s in server.sockets)
+
+    def hear_no_more(self) -> None:
+        """Take no further connection and no further request; what is open can still be answered."""
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self._open):
+            connection.stop_reading()
 
     def close(self) -> None:
         self._sweeper.cancel()
--- a/fawngw/node/node.py
+++ b/fawngw/node/node.py
@@ -60,8 +60,16 @@
 
 QUIET_S = 0.6  # after SIGTERM: new connections come for up to 0.4 s
 SILENT_S = 0.25  # and none may have come for this long
-LAST_S = 3.4  # all is answered by then: SIGKILL comes 3.7 s after SIGTERM at the earliest
+# SIGKILL comes no sooner than the longest deadline, or 3 s where that is longer, and 0.7 s after SIGTERM.
+# All is answered a moment before that.
+KILL_MOST_S = 3.0
+KILL_PLUS_S = 0.7
+LAST_BEFORE_S = 0.3
 DRAIN_CHECK_S = 0.02
+FLUSH_S = 0.02  # for the last answers to leave
+# In front of a stale list: where lists are pushed, what the agent has counts from the first moment on, and it
+# answers at once. While discovery is down it does not; then the last known list has to do.
+KNOWN_WAIT_S = 1.0
 
 
 class Clock:
@@ -105,6 +113,9 @@
         self._last_id = 0
         self._host = b"%s:%d" % (config.listen[0].encode(), config.listen[1])
         self._terminated_at: float | None = None
+        longest_s = max(c.deadline_ms for c in settings.classes) / 1000.0
+        self._last_s = min(longest_s, KILL_MOST_S) + KILL_PLUS_S - LAST_BEFORE_S
+        self._started_at = time.monotonic()
         self._done = asyncio.Event()
         sockets = config.limits.sockets
         self._servers = Servers(
@@ -115,7 +126,7 @@
         self._callers = Callers(
             settings,
             self._take,
-            self._servers.any_listed,
+            self._ready,
             most=int(CALLERS_PART * sockets),
             most_bytes=int(BODIES_PART * config.limits.memory_mb * 1_000_000),
         )
@@ -142,16 +153,22 @@
         log.info("node %s listens on %s:%d", self._config.name, host, port)
         return host, port
 
+    def _ready(self) -> bool:
+        """Whether servers are known, and from the agent where that tells of them unasked."""
+        told = self._discovery.heard or self._config.settings.ask_for_list
+        waited = time.monotonic() - self._started_at >= KNOWN_WAIT_S
+        return self._servers.any_listed() and (told or waited)
+
     def stop(self) -> None:
-        """End now, whatever is open."""
+        """End now, whatever is open: nothing that would be taken in the same turn is read any more."""
+        self._discovery.close()
+        self._callers.close()
+        self._servers.close()
         self._done.set()
 
     async def wait(self) -> None:
         """Serve until SIGTERM, then until everything taken is answered."""
         await self._done.wait()
-        self._discovery.close()
-        self._callers.close()
-        self._servers.close()
 
     # ------------------------------------------------------------ events in, actions out
 
@@ -227,7 +244,7 @@
         request = self._last_id
         budget = ask.budget_ms
         if self._terminated_at is not None:
-            budget = min(budget, 1000.0 * (self._terminated_at + LAST_S - time.monotonic()))
+            budget = min(budget, 1000.0 * (self._terminated_at + self._last_s - time.monotonic()))
         budget = max(1.0, budget - min(RESERVE_MS, RESERVE_MOST * budget))
         self._requests[request] = Pending(
             ask.message,
@@ -392,7 +409,7 @@
             return
         log.info("terminating, %d requests open", len(self._requests))
         self._terminated_at = time.monotonic()
-        self._loop.call_later(LAST_S, self._fail_rest)
+        self._loop.call_later(self._last_s, self._fail_rest)
         self._callers.wind_down()
         self._loop.call_later(QUIET_S, self._end_when_quiet)
 
@@ -404,8 +421,12 @@
     def _end_when_quiet(self) -> None:
         assert self._terminated_at is not None
         now = time.monotonic()
-        quiet = not self._callers.busy() and now - self._callers.last_heard >= SILENT_S
-        if quiet or now - self._terminated_at > LAST_S + SILENT_S:
+        if not self._callers.busy() and now - self._callers.last_heard >= SILENT_S:
             self.stop()
+        elif now - self._terminated_at > self._last_s + LAST_BEFORE_S / 2:
+            # What comes later than this could be taken and not be answered.
+            self._callers.hear_no_more()
+            self._fail_rest()
+            self._loop.call_later(FLUSH_S, self.stop)
         else:
             self._loop.call_later(DRAIN_CHECK_S, self._end_when_quiet)
--- a/fawngw/node/servers.py
+++ b/fawngw/node/servers.py
@@ -16,6 +16,7 @@
 from fawngw.interface import Outcome, Readiness, ServerId
 from fawngw.node.discovery import Listing
 from fawngw.node.http import NOT_RUN, Message, MessageError, Reader
+from fawngw.node.polling import polls
 
 log = logging.getLogger(__name__)
 
@@ -94,9 +95,7 @@
         if not self.usable():
             return False
         assert self._transport is not None
-        poll = select.poll()
-        poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return not poll.poll(0)
+        return not polls(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
 
     def carry(self, call: Call) -> None:
         """Write the call's request; from here on it may have run."""
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 import struct
 from collections.abc import Callable
@@ -14,19 +15,23 @@
 import pytest
 
 from fawngw.interface import Action, AttemptEnded, Event, Outcome, TimerFired
+from fawngw.node import node as node_module
 from fawngw.node.callers import PACE_PIPELINED
 from fawngw.node.node import Node
 from tests.stubs import (
+    HOST,
     PATIENCE_S,
     Caller,
     StubServer,
     held,
+    listing,
     reply,
     request,
     row,
     run,
     settings,
     silent,
+    tell,
     until,
     world,
 )
@@ -169,7 +174,7 @@
                 os_socket = connection._transport.get_extra_info("socket")
                 os_socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2048)
                 await loop.sock_sendall(caller, request("look"))
-                await until(lambda: connection._answered)
+                await until(lambda: connection.answered)
                 assert connection._unsent(), "the test needs an answer that does not fit the buffers"
                 await loop.sock_sendall(caller, _bookings(1))
                 await until(lambda: len(server.received) == 2)
@@ -213,3 +218,146 @@
             assert not w.node._calls and not w.node._held
 
     run(main())
+
+
+# ---------------------------------------------------------------- the end
+
+
+def _profiles(*deadlines_ms: float) -> list[dict[str, Any]]:
+    return [
+        {"name": f"c{i}", "effect": "safe", "aimMs": 100.0, "deadlineMs": deadline}
+        for i, deadline in enumerate(deadlines_ms)
+    ]
+
+
+@pytest.mark.parametrize(
+    ("deadlines_ms", "kill_s"),
+    [((250.0,), 0.95), ((400.0, 900.0), 1.6), ((2500.0,), 3.2), ((3000.0,), 3.7), ((9000.0, 50.0), 3.7)],
+)
+def test_all_is_answered_before_sigkill_can_come_whatever_the_longest_deadline(
+    deadlines_ms: tuple[float, ...], kill_s: float
+) -> None:
+    async def main() -> None:
+        async with world(row("a", f"{HOST}:1"), profiles=_profiles(*deadlines_ms)) as w:
+            last = w.node._last_s
+            assert last >= min(max(deadlines_ms) / 1000.0, 3.0), "what came before SIGTERM has its time"
+            end = last + node_module.LAST_BEFORE_S / 2 + node_module.DRAIN_CHECK_S + node_module.FLUSH_S
+            assert end + 0.1 <= kill_s
+
+    run(main())
+
+
+def test_a_connection_that_is_new_at_sigterm_gets_its_request_answered() -> None:
+    async def main() -> None:
+        async with StubServer([reply("200 OK", b"late")]) as server, world(row("a", server.address)) as w:
+            caller = await w.caller()
+            await until(lambda: w.node._callers._open)
+            w.node.terminate()
+            answer = await caller.ask("look")
+            assert (answer.body, answer.headers["connection"]) == (b"late", "close")
+            assert await caller.ended()
+
+    run(main())
+
+
+def _blocking(address: tuple[str, int]) -> socket.socket:
+    """A caller that acts at once, while the node's loop stands still."""
+    caller = socket.create_connection(address, timeout=PATIENCE_S)
+    caller.sendall(request("look"))
+    return caller
+
+
+async def _read_answer(caller: socket.socket) -> bytes:
+    caller.setblocking(False)
+    got = b""
+    loop = asyncio.get_running_loop()
+    with contextlib.suppress(ConnectionError):
+        while part := await asyncio.wait_for(loop.sock_recv(caller, 4096), PATIENCE_S):
+            got += part
+    return got
+
+
+def test_a_request_that_lies_unread_on_an_idle_connection_at_sigterm_is_answered() -> None:
+    async def main() -> None:
+        async with StubServer([reply("200 OK", b"x")]) as server, world(row("a", server.address)) as w:
+            with _blocking(w.address) as caller:
+                await until(lambda: any(c.answered for c in w.node._callers._open))
+                caller.sendall(request("look"))  # and before the loop turns
+                w.node.terminate()
+                answers = await _read_answer(caller)
+                assert answers.count(b"200 OK") == 2
+
+    run(main())
+
+
+def test_a_connection_that_waits_to_be_accepted_at_the_end_is_answered(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(node_module, "QUIET_S", PATIENCE_S)  # the end is looked for below
+    monkeypatch.setattr(node_module, "SILENT_S", 0.0)
+
+    async def main() -> None:
+        async with StubServer([reply("200 OK", b"x")]) as server, world(row("a", server.address)) as w:
+            w.node.terminate()
+            with _blocking(w.address) as caller:
+                w.node._end_when_quiet()  # in the turn in which it came
+                assert b"200 OK" in await _read_answer(caller)
+            await asyncio.wait_for(w.serving, PATIENCE_S)
+
+    run(main())
+
+
+def test_what_is_open_when_the_node_must_end_is_answered_and_nothing_more_is_taken(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def main() -> None:
+        async with StubServer([silent]) as server, world(row("a", server.address)) as w:
+            caller = await w.caller()
+            caller.writer.write(_bookings(1))
+            await asyncio.wait_for(server.got.wait(), PATIENCE_S)
+            w.node.terminate()
+            monkeypatch.setattr(w.node, "_last_s", -1.0)  # the time has run out
+            with _blocking(w.address):
+                w.node._end_when_quiet()
+                assert (await caller.answer()).status == 500
+                await asyncio.wait_for(w.serving, PATIENCE_S)
+            assert len(server.received) == 1
+            server.release.set()
+
+    run(main())
+
+
+# ---------------------------------------------------------------- the first moments
+
+
+def test_a_new_process_is_not_ready_on_a_list_that_may_be_old(monkeypatch: pytest.MonkeyPatch) -> None:
+    """What the agent has counts as told from the first moment; the known list may still name what drains."""
+
+    async def main() -> None:
+        async with (
+            StubServer([reply("200 OK", b"a")]) as one,
+            StubServer([reply("200 OK", b"b")]) as two,
+            world(row("a", one.address), row("b", two.address), registryMode="pushed") as w,
+        ):
+            watch = await w.discovery.watch()
+            caller = await w.caller()
+            assert (await caller.ask(target="/ready")).status == 503
+            tell(watch, listing(2, row("a", one.address, "DRAINING"), reset=False))
+            await until(lambda: w.node._discovery.heard)
+            assert (await caller.ask(target="/ready")).status == 200
+            assert {(await caller.ask("look")).body for _ in range(5)} == {b"b"}
+
+    run(main())
+
+
+def test_a_new_process_does_not_wait_for_an_agent_that_stays_silent(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(node_module, "KNOWN_WAIT_S", 0.0)
+
+    async def main() -> None:
+        async with (
+            StubServer([reply("200 OK")]) as server,
+            world(row("a", server.address), registryMode="pushed") as w,
+        ):
+            assert (await (await w.caller()).ask(target="/ready")).status == 200
+
+    run(main())
