--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -7,9 +7,12 @@
 
 import asyncio
 import contextlib
+import json
+import os
 import socket
 import struct
 from collections.abc import Callable
+from pathlib import Path
 from typing import Any
 
 import pytest
@@ -22,9 +25,11 @@
     HOST,
     PATIENCE_S,
     Caller,
+    StubDiscovery,
     StubServer,
     held,
     listing,
+    read_head,
     reply,
     request,
     row,
@@ -361,3 +366,74 @@
             assert (await (await w.caller()).ask(target="/ready")).status == 200
 
     run(main())
+
+
+# ---------------------------------------------------------------- signals and servers
+
+
+def test_sighup_after_sigterm_is_followed_and_does_not_stop_the_end(tmp_path: Path) -> None:
+    config = tmp_path / "config.json"
+
+    async def main() -> None:
+        async with (
+            StubServer([held(reply("200 OK", b"x"))]) as server,
+            StubDiscovery() as moved,
+            world(row("a", server.address), path=str(config), registryMode="pushed") as w,
+        ):
+            (await w.discovery.watch()).transport.abort()  # and its watch is broken as well
+            caller = await w.caller()
+            caller.writer.write(_bookings(1))
+            await asyncio.wait_for(server.got.wait(), PATIENCE_S)
+            w.node.terminate()
+            config.write_text(json.dumps({"discovery": moved.address}))
+            w.node.reload()
+            await moved.watch()
+            server.release.set()
+            assert (await caller.answer()).body == b"x"
+            await asyncio.wait_for(w.serving, PATIENCE_S)
+
+    run(main())
+
+
+def test_a_booking_whose_connection_breaks_under_its_half_written_body_is_not_sent_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Its last byte may have left or not: what cannot be told counts as run."""
+
+    async def main() -> None:
+        opened = 0
+
+        async def break_at_head(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            nonlocal opened
+            opened += 1
+            await read_head(reader)
+            writer.transport.abort()
+
+        server = await asyncio.start_server(break_at_head, HOST, 0, limit=1024)
+        address = f"{HOST}:{server.sockets[0].getsockname()[1]}"
+        async with world(row("a", address), row("b", address.replace("127.0.0.1", "127.0.0.2"))) as w:
+            outcomes = _outcomes(w.node, monkeypatch)
+            caller = await w.caller()
+            answer = await caller.ask("book", body=b"x" * 60_000)
+            assert answer.status == 502
+            assert outcomes.count(Outcome.RESET) == 1 and opened == 1
+        server.close()
+
+    run(main())
+
+
+def test_an_answer_and_the_client_s_departure_in_one_turn_leave_nothing_behind() -> None:
+    """The server's answer and the client's end both lie unread when the loop turns."""
+
+    async def main() -> None:
+        async with StubServer([silent]) as server, world(row("a", server.address)) as w:
+            caller = _blocking(w.address)
+            await until(lambda: server.writers and server.received)
+            text = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"
+            os.write(server.writers[0].get_extra_info("socket").fileno(), text)
+            caller.close()
+            await until(lambda: not w.node._requests and not w.node._calls and not w.node._callers._open)
+            assert not w.node._held and not w.node._balancer._attempts and not w.node._balancer._requests
+            server.release.set()
+
+    run(main())
