Begin no attempt for a client that has left: look at its socket first

Seen: five tests with the close in the kernel and a retry, a queued request or a late connection decided in the same turn each sent one request on. Looked at: Callers._check_left (a timer, for paused connections only), CallerConnection.eof_received (read in a later turn). At fault: Node._send and Servers._connect, which asked the request table only. Each attempt now takes one look (POLLRDHUP) at its caller's socket before it begins.

--- a/fawngw/node/callers.py
+++ b/fawngw/node/callers.py
@@ -37,8 +37,8 @@
 LONGEST_DEADLINE_S = 3600.0
 HINT_MOST_US = 1e9
 SWEEP_S = 0.25
-# Where reading is paused nothing tells that the caller has left but a look at the socket: what waits for such
-# a caller must not be sent on 0.3 s later.
+# Where reading is paused nothing tells that the caller has left but a look at the socket.  Each attempt takes
+# one for itself before it begins; this ends what waits with no attempt to begin.
 LEFT_CHECK_S = 0.1
 # A usual caller connects because it has a request.  One that has not sent a whole one by now is answered or
 # closed: with the sweep's and the network's time that is within the 3 s that it is owed.
@@ -84,6 +84,16 @@
         self.output: bytes | None = None
         self.on_gone: Callable[[], None] | None = None
 
+    def left(self) -> bool:
+        """Whether its caller has gone by now, seen on the socket.
+
+        The loop tells of it in a later turn only, or not while the connection is not read.  Whoever finds it
+        out here ends what waits on the connection.
+        """
+        if not self.gone and self._connection.has_left():
+            self._connection.end_left()
+        return self.gone
+
     def answer(self, status: int, body: bytes = b"", extra: bytes = b"") -> None:
         """Send the answer; nothing goes to a caller that has left, and no second answer to anybody."""
         if self.gone or self.output is not None:
--- a/fawngw/node/node.py
+++ b/fawngw/node/node.py
@@ -321,8 +321,8 @@
     def _send(self, action: Send) -> None:
         request, server = action.request, action.server
         pending = self._requests.get(request)
-        if pending is None:
-            # Its caller left while this was decided, and the module does not know yet.
+        if pending is None or pending.exchange.left():
+            # Its caller left while it waited or while this was decided, and the module does not know yet.
             struck = self._struck[request]
             self._post(AttemptEnded(request, struck.attempts, server, Outcome.MOOT, 0.0, True))
             struck.attempts += 1
@@ -335,7 +335,7 @@
             return
         timeout = min(action.timeout_ms, left) if action.timeout_ms > 0 else left
         sent = self._clock.now()
-        head, body = pending.head, pending.message.body
+        head, body, exchange = pending.head, pending.message.body, pending.exchange
         name = pending.message.headers[REQUEST_ID]
 
         def render(seconds: float) -> bytes:
@@ -345,8 +345,11 @@
             self._let_go(name)
             self._ended(request, number, server, sent, outcome, answer)
 
+        def wanted() -> bool:
+            return not exchange.left()
+
         self._held[name] += 1
-        self._calls[request, number] = self._servers.call(server, render, timeout / 1000.0, done)
+        self._calls[request, number] = self._servers.call(server, render, timeout / 1000.0, done, wanted)
 
     def _ended(
         self,
--- a/fawngw/node/servers.py
+++ b/fawngw/node/servers.py
@@ -33,16 +33,18 @@
 
 Done = Callable[[Outcome, Message | None], None]
 Render = Callable[[float], bytes]
+Wanted = Callable[[], bool]  # whether somebody still waits for the call at the moment in which it begins
 
 
 class Call:
     """One request to a server: an attempt or a probe.  It ends once, with one outcome."""
 
-    __slots__ = ("_done", "_loop", "_timer", "connection", "deadline", "ended", "render", "written")
+    __slots__ = ("_done", "_loop", "_timer", "connection", "deadline", "ended", "render", "wanted", "written")
 
-    def __init__(self, render: Render, timeout_s: float, done: Done) -> None:
+    def __init__(self, render: Render, timeout_s: float, done: Done, wanted: Wanted) -> None:
         self._loop = asyncio.get_running_loop()
         self.render = render
+        self.wanted = wanted
         self.deadline = self._loop.time() + timeout_s
         self.connection: Connection | None = None
         self.written = False
@@ -243,9 +245,11 @@
 
     # Calls.
 
-    def call(self, server: ServerId, render: Render, timeout_s: float, done: Done) -> Call:
+    def call(
+        self, server: ServerId, render: Render, timeout_s: float, done: Done, wanted: Wanted = lambda: True
+    ) -> Call:
         """Start one call; its outcome comes by done, once, at the earliest after this returns."""
-        call = Call(render, timeout_s, done)
+        call = Call(render, timeout_s, done, wanted)
         peer = self._peers.get(server)
         if peer is None:
             self._loop.call_soon(call.end, Outcome.CONNECT_FAILED)
@@ -271,6 +275,8 @@
         except (OSError, TimeoutError):
             call.end(Outcome.CONNECT_FAILED)
             return
+        if not call.ended and not call.wanted():
+            call.end(Outcome.MOOT)
         if call.ended:
             self.rest(connection)
         elif not peer.current:
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -18,6 +18,7 @@
 import pytest
 
 from fawngw.interface import Action, AttemptEnded, Event, Outcome, TimerFired
+from fawngw.node import callers as callers_module
 from fawngw.node import node as node_module
 from fawngw.node.callers import PACE_PIPELINED
 from fawngw.node.node import Node
@@ -225,6 +226,76 @@
     run(main())
 
 
+def _bookings_behind_one(late_check: pytest.MonkeyPatch) -> bytes:
+    """Two requests on one connection, which is then read no further; only an attempt's own look remains."""
+    late_check.setattr(callers_module, "LEFT_CHECK_S", PATIENCE_S)
+    return request("look", deadline="600") + request("book", deadline="600")
+
+
+def test_nothing_begins_on_a_connection_that_comes_up_after_an_unread_client_left(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def main() -> None:
+        async with StubServer([silent]) as server, world(row("a", server.address)) as w:
+            late = _late(w.node, monkeypatch)
+            caller = await w.caller()
+            caller.writer.write(_bookings_behind_one(monkeypatch))
+            await until(lambda: len(w.node._servers._opening) == 2)
+            caller.close()
+            await until(lambda: next(iter(w.node._callers._open)).has_left())
+            late.release.set()
+            await until(lambda: not w.node._servers._opening)
+            assert not w.node._requests and not w.node._calls and not w.node._held
+            await until(lambda: not w.node._callers._open)
+            assert not server.received
+
+    run(main())
+
+
+@pytest.mark.parametrize("outcome", [Outcome.CONNECT_FAILED, Outcome.RESET, Outcome.FULL])
+def test_no_further_attempt_begins_in_the_turn_before_the_client_s_end_is_read(outcome: Outcome) -> None:
+    """The client's end and the outcome that asks for a retry are both there when the loop turns."""
+
+    async def main() -> None:
+        async with (
+            StubServer([silent]) as one,
+            StubServer([silent]) as two,
+            world(row("a", one.address), row("b", two.address)) as w,
+        ):
+            caller = _blocking(w.address)
+            await until(lambda: one.received or two.received)
+            caller.close()
+            ((_, call),) = w.node._calls.items()
+            call.give_up(outcome)
+            assert not w.node._requests and not w.node._calls and not w.node._held
+            assert not w.node._balancer._requests and not w.node._balancer._attempts
+            await until(lambda: not w.node._callers._open)
+            assert len(one.received) + len(two.received) == 1
+
+    run(main())
+
+
+def test_no_attempt_begins_for_a_client_that_left_while_its_request_was_queued(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """In the module's queue, with a place becoming free before the loop reads the client's end."""
+
+    async def main() -> None:
+        async with StubServer([silent]) as server, world(row("a", server.address)) as w:
+            monkeypatch.setattr(w.node._balancer, "_place", lambda *_: False)
+            monkeypatch.setattr(w.node._balancer, "_expire", lambda _: None)
+            caller = _blocking(w.address)
+            await until(lambda: w.node._balancer._queue)
+            caller.close()
+            monkeypatch.undo()
+            w.node._post(TimerFired(0))
+            assert not w.node._requests and not w.node._calls and not w.node._balancer._queue
+            await until(lambda: not w.node._callers._open)
+            assert not server.received
+
+    run(main())
+
+
 # ---------------------------------------------------------------- the end
 
 
