Never close on a request that lies unread, nor push out newcomers for newcomers

A new connection over the limit closed the idle one first in rank: by what the loop had read, not by what had arrived. A request in the socket's buffer was reset with no answer, and so taken and lost. And callers that had brought no request yet went before resting connections that nobody used: in a burst with the table full each newcomer pushed out the one before it, whose request was on its way.

Looked at and ruled out: the overflow (it resets, these were closed in order), the answers 503 (none was sent), the idle times (all within 1 s). At fault: CallerConnection.may_go and check.

Newcomers younger than STUCK_S are spared while they are at most half of the table. The choice is by lines in order of waiting with eight looks at the most each, where it went over all connections for each newcomer.

--- a/fawngw/node/callers.py
+++ b/fawngw/node/callers.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from hashlib import blake2b
+from itertools import islice
 from typing import cast
 
 from fawngw.interface import Effect, Settings
@@ -49,10 +50,12 @@
 # as such connections are kept for good; one of a usual caller's is worth a handshake.
 IDLE_ONCE_S = 2.25
 IDLE_S = 60.0
-STUCK_S = 0.5  # when there is no room, a request that has not come in whole by now makes way
+STUCK_S = 0.5  # when there is no room, a request that has not come, or not whole, by now makes way
+NEWCOMERS_PART = 0.5  # of the limit: with more that brought no request yet they make way for one another
 LINGER_S = 0.5  # after an early answer the caller may read it: closing on its unread input resets at once
 IGNORED_MOST = 256 * 1024
 FULL_RETRY_S = 0.5
+LOOKS = 8  # at the first of each line of those that may make way, for each newcomer
 OVERFLOW_PART = 0.1  # of the limit: newcomers that are answered 503 where nobody can make way
 
 _DECIMAL = re.compile(rb"[0-9]{1,12}(\.[0-9]{1,12})?")  # float() takes far more than the protocol has
@@ -111,6 +114,7 @@
     def __init__(self, callers: Callers) -> None:
         self.callers = callers
         self.since = 0.0  # when it was opened, last became idle, or stopped reading
+        self.place: int | None = None  # the line it stands in to make way
         self.answered = False
         self._usual = False  # it has brought a request that was taken
         self._reader = Reader(self._on_request, requests=True)
@@ -137,20 +141,29 @@
         """Whether an answer, or a part of one, is still to be sent, or a request is coming in."""
         return self._unsent() or bool(self._exchanges) or (self._reader.within and not self._over)
 
-    def may_go(self, now: float) -> tuple[int, float] | None:
-        """How readily this makes way for a newcomer, the least first; None if it must not.
+    def rank(self) -> int | None:
+        """How readily this makes way for a newcomer, the least first; None while it has a request open.
 
         Guards against usual callers being refused while the table is full of connections of no use.  Those
         that never brought a request go before usual callers: a crowd of them is no reason to make a usual one
         open a new connection.
         """
         if self._over:
-            return None if self._unsent() else (0, self.since)
+            return 0
         if self.idle():
-            return (2 if self._usual else 1, self.since)
-        if self._reader.within and not self._exchanges and now - self.since > STUCK_S:
-            return (3, self.since)
-        return None
+            return 2 if self._usual else 1
+        return 3 if not self._exchanges else None
+
+    def may_go(self, now: float) -> bool:
+        """Whether it may make way right now: a request that lies unread is taken, and not to be dropped."""
+        if self._over:
+            return not self._unsent()
+        stuck = now - self.since > STUCK_S
+        if self.idle():
+            # A caller connects because it has a request: in a burst of such callers each pushed out the one
+            # before it, whose request was on its way, while connections rested that nobody used.
+            return (self._usual or stuck or self.callers.flooded()) and not self.unread()
+        return stuck
 
     def make_way(self) -> None:
         """Close: at once where the last answer is out, else when what was written has been sent."""
@@ -168,9 +181,11 @@
         elif self._exchanges:
             return
         elif self._reader.within:
-            if waited > (REQUEST_S if self._usual else FIRST_S):
+            late = waited - (REQUEST_S if self._usual else FIRST_S)
+            # What lies unread as the loop is late may be the rest of it: there is one more look at it.
+            if late > SWEEP_S or (late > 0.0 and not self.unread()):
                 self._answer_early(408)
-        elif waited > (IDLE_S if self._usual else IDLE_ONCE_S):
+        elif waited > (IDLE_S if self._usual else IDLE_ONCE_S) and not self.unread():
             self.close()
 
     def data_received(self, data: bytes) -> None:
@@ -225,6 +240,7 @@
             transport.write(exchange.output)
             self.since = self.callers.now()
             self.answered = True
+            self.callers.line_up(self)
             if exchange.close:
                 self._end()
                 return
@@ -239,6 +255,7 @@
         """Close after the last answer, once the caller has had the time to read it."""
         assert self._transport is not None
         self._over = True
+        self.callers.line_up(self)
         self.stop_reading()
         self._leave()
         if self._transport.can_write_eof():
@@ -316,6 +333,8 @@
 
     def _pace(self) -> None:
         """Read only as long as answers have somewhere to go: bounds what one caller can make us hold."""
+        if self.place != self.rank():
+            self.callers.line_up(self)
         if self._transport is None or self._transport.is_closing():
             return
         if self._choked or self._ignored > IGNORED_MOST or len(self._exchanges) >= PACE_PIPELINED:
@@ -350,6 +369,9 @@
         self._loop = asyncio.get_running_loop()
         self._open: set[CallerConnection] = set()
         self._unread: set[CallerConnection] = set()  # those whose reading is paused
+        # Those that may make way for a newcomer, by rank, in each line the one that has waited longest first:
+        # a crowd of newcomers must not look at all connections for each of them.
+        self._lines: tuple[dict[CallerConnection, None], ...] = ({}, {}, {}, {})
         self._server: asyncio.Server | None = None
         self._left_check: asyncio.TimerHandle | None = None
         self._sweeper = self._loop.call_later(SWEEP_S, self._sweep)
@@ -373,14 +395,27 @@
 
     def opened(self, connection: CallerConnection) -> None:
         self._open.add(connection)
+        self.line_up(connection)
         self.last_heard = self.now()
         if len(self._open) > self._most and not self._shed_one(connection) and self._overflows():
             connection.drop()
 
     def closed(self, connection: CallerConnection) -> None:
-        self._open.discard(connection)
+        self._forget(connection)
         self._unread.discard(connection)
 
+    def line_up(self, connection: CallerConnection) -> None:
+        """Put it at the end of the line of its rank."""
+        if connection.place is not None:
+            self._lines[connection.place].pop(connection, None)
+        connection.place = connection.rank() if connection in self._open else None
+        if connection.place is not None:
+            self._lines[connection.place][connection] = None
+
+    def _forget(self, connection: CallerConnection) -> None:
+        self._open.discard(connection)
+        self.line_up(connection)
+
     def paused(self, connection: CallerConnection) -> None:
         """From now on only a look at its socket tells that this caller has left."""
         self._unread.add(connection)
@@ -411,16 +446,20 @@
         """Beyond this a newcomer is closed unheard: descriptors must not run out."""
         return len(self._open) > self._most * (1.0 + OVERFLOW_PART)
 
+    def flooded(self) -> bool:
+        """Whether so many have brought no request yet that they can't be spared for bringing one soon."""
+        return len(self._lines[1]) > NEWCOMERS_PART * self._most or self._overflows()
+
     def _shed_one(self, newest: CallerConnection) -> bool:
         """Close the connection that makes way most readily, if there is one."""
         now = self.now()
-        ranks = [(rank, c) for c in self._open if c is not newest and (rank := c.may_go(now)) is not None]
-        if not ranks:
-            return False
-        _, connection = min(ranks, key=lambda pair: pair[0])
-        self._open.discard(connection)
-        connection.make_way()
-        return True
+        for line in self._lines:
+            for connection in islice(line, LOOKS):
+                if connection is not newest and connection.may_go(now):
+                    self._forget(connection)
+                    connection.make_way()
+                    return True
+        return False
 
     def _sweep(self) -> None:
         self._sweeper = self._loop.call_later(SWEEP_S, self._sweep)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -620,6 +620,24 @@
     run(main())
 
 
+def test_newcomers_do_not_push_each_other_out_while_connections_rest() -> None:
+    """Each connects, and its request comes a moment later; the table is full of resting connections."""
+
+    async def main() -> None:
+        async with StubServer([reply("200 OK")]) as server, world(row("a", server.address), sockets=96) as w:
+            most = w.node._callers._most
+            resting = [await w.caller() for _ in range(most)]
+            for caller in resting:
+                assert (await caller.ask("look")).status == 200
+            newcomers = [await w.caller() for _ in range(most // 2)]
+            for caller in newcomers:
+                assert (await caller.ask("look")).status == 200, "closed before its request could come"
+            assert await resting[0].ended()
+            assert len(w.node._callers._open) <= most
+
+    run(main())
+
+
 def test_a_chunked_body_over_the_limit_is_refused_before_its_end() -> None:
     async def main() -> None:
         async with StubServer([reply("200 OK")]) as server, world(row("a", server.address)) as w:
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -20,7 +20,7 @@
 from fawngw.interface import Action, AttemptEnded, Event, Outcome, TimerFired
 from fawngw.node import callers as callers_module
 from fawngw.node import node as node_module
-from fawngw.node.callers import PACE_PIPELINED
+from fawngw.node.callers import PACE_PIPELINED, CallerConnection
 from fawngw.node.node import Node
 from tests.stubs import (
     HOST,
@@ -28,6 +28,7 @@
     Caller,
     StubDiscovery,
     StubServer,
+    World,
     held,
     listing,
     read_head,
@@ -296,6 +297,91 @@
     run(main())
 
 
+# ---------------------------------------------------------------- closing between requests
+
+
+async def _rested(w: World) -> tuple[socket.socket, CallerConnection]:
+    """A usual caller whose first request has been answered, and the node's end of its connection."""
+    caller = _blocking(w.address)
+    (connection,) = await until(lambda: [c for c in w.node._callers._open if c.answered])
+    return caller, connection
+
+
+def test_a_request_that_lies_unread_is_not_closed_on_to_make_way_for_a_newcomer() -> None:
+    """It has been taken, and the close would reset it with no answer."""
+
+    async def main() -> None:
+        async with StubServer([reply("200 OK", b"x")]) as server, world(row("a", server.address)) as w:
+            caller, connection = await _rested(w)
+            with caller:
+                caller.sendall(request("look"))  # and before the loop turns
+                assert not w.node._callers._shed_one(CallerConnection(w.node._callers))
+                assert connection in w.node._callers._open
+                answers = asyncio.create_task(_read_answer(caller))
+                await until(lambda: len(server.received) == 2)
+                connection.make_way()
+                assert (await answers).count(b"200 OK") == 2
+
+    run(main())
+
+
+@pytest.mark.parametrize("within", [False, True], ids=["idle", "half a request"])
+def test_a_request_that_lies_unread_is_not_closed_on_when_the_time_between_requests_is_over(
+    within: bool,
+) -> None:
+    async def main() -> None:
+        async with StubServer([reply("200 OK", b"x")]) as server, world(row("a", server.address)) as w:
+            caller, connection = await _rested(w)
+            text = request("look")
+            with caller:
+                if within:
+                    caller.sendall(text[:30])
+                    await until(lambda: connection._reader.within)
+                caller.sendall(text[30 if within else 0 :])
+                most = callers_module.REQUEST_S if within else callers_module.IDLE_S
+                connection.check(connection.since + most + 0.01)  # before the loop turns
+                answers = asyncio.create_task(_read_answer(caller))
+                await until(lambda: len(server.received) == 2)
+                connection.make_way()
+                assert (await answers).count(b"200 OK") == 2
+
+    run(main())
+
+
+def test_a_newcomer_costs_a_few_looks_however_many_connections_are_open(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    looks = 0
+    may_go = CallerConnection.may_go
+
+    def counted(connection: CallerConnection, now: float) -> bool:
+        nonlocal looks
+        looks += 1
+        return may_go(connection, now)
+
+    monkeypatch.setattr(CallerConnection, "may_go", counted)
+
+    async def main() -> None:
+        nonlocal looks
+        async with StubServer([reply("200 OK")]) as server, world(row("a", server.address)) as w:
+            most = w.node._callers._most
+            open_ones = [await w.caller() for _ in range(most)]
+            for caller in open_ones:
+                caller.writer.write(request("look")[:30])  # none of them may go yet
+            await until(lambda: len(w.node._callers._lines[3]) == most)
+            looks = 0
+            newcomer = await w.caller()
+            await until(lambda: len(w.node._callers._open) == most + 1)
+            assert 0 < looks <= 4 * callers_module.LOOKS
+            for caller in open_ones:
+                caller.close()
+            newcomer.close()
+            await until(lambda: not w.node._callers._open)
+            assert not any(w.node._callers._lines), "a line holds on to what has gone"
+
+    run(main())
+
+
 # ---------------------------------------------------------------- the end
 
 
@@ -339,6 +425,7 @@
 def _blocking(address: tuple[str, int]) -> socket.socket:
     """A caller that acts at once, while the node's loop stands still."""
     caller = socket.create_connection(address, timeout=PATIENCE_S)
+    caller.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     caller.sendall(request("look"))
     return caller
 
