Share out only the descriptors that the process leaves, with room for discovery

Callers got 0.4 of all descriptors and a tenth on top, servers 0.45, beside the process's own, of which 20 were counted with nothing open: 101 of 96, and 77 of 64. Where idle clients fill the first part the process reached its limit, and connections to servers and discovery failed for that.

At fault: CALLERS_PART, SERVERS_PART. Now 28 are set aside, usual clients' third of all is kept, and what is left is split so that the sum is the limit.

--- a/fawngw/node/node.py
+++ b/fawngw/node/node.py
@@ -39,7 +39,7 @@
     Subscribe,
     TimerFired,
 )
-from fawngw.node.callers import Ask, Callers, Exchange
+from fawngw.node.callers import OVERFLOW_PART, Ask, Callers, Exchange
 from fawngw.node.config import Config, ConfigError, discovery_anew
 from fawngw.node.discovery import Discovery, Listing
 from fawngw.node.http import CONTENT_TYPE, REQUEST_ID, Message, MessageError, request_head
@@ -54,9 +54,13 @@
 PROBE_MS = 250.0
 CALL_PART = 0.4  # of the time to ask again: a call for the list has failed before the next is made
 
-CALLERS_PART = 0.4  # of all descriptors
+# The process itself: 20 were counted with nothing open, and the watch, its successor, and what is just being
+# accepted or closed come on top.  Only what is left beside these is shared out.
+OWN_DESCRIPTORS = 28
+CALLERS_PART = 0.42  # of what is left
+CALLERS_LEAST = 1 / 3  # of all: as many may usual clients hold for requests
+SERVERS_LEAST = 1 / 3  # of what is left, where the limit is tight
 BODIES_PART = 0.25  # of the memory, for the bodies of open requests; as much again may be in buffers
-SERVERS_PART = 0.45  # the rest is kept for new connections, discovery and the process itself
 
 QUIET_S = 0.6  # after SIGTERM: new connections come for up to 0.4 s
 SILENT_S = 0.25  # and none may have come for this long
@@ -72,6 +76,17 @@
 KNOWN_WAIT_S = 1.0
 
 
+def share_out(sockets: int) -> tuple[int, int]:
+    """How many connections callers may have open, and how many there may be to servers.
+
+    Whatever fills one side, the other's and discovery's are still there.
+    """
+    left = sockets - OWN_DESCRIPTORS
+    wanted = max(CALLERS_PART * left, CALLERS_LEAST * sockets)
+    callers = max(1, int(min(wanted, (1.0 - SERVERS_LEAST) * left / (1.0 + OVERFLOW_PART))))
+    return callers, max(1, int(left - callers * (1.0 + OVERFLOW_PART)))
+
+
 class Clock:
     """Unix time in milliseconds, advanced by the monotonic clock: never backwards, and comparable with the
     start times of servers, whatever is done to the system's clock."""
@@ -117,17 +132,17 @@
         self._last_s = min(longest_s, KILL_MOST_S) + KILL_PLUS_S - LAST_BEFORE_S
         self._started_at = time.monotonic()
         self._done = asyncio.Event()
-        sockets = config.limits.sockets
+        most_callers, most_servers = share_out(config.limits.sockets)
         self._servers = Servers(
             connect_s=settings.connect_timeout_ms / 1000.0,
             idle_s=config.conn_idle_ms / 1000.0,
-            most_open=int(SERVERS_PART * sockets),
+            most_open=most_servers,
         )
         self._callers = Callers(
             settings,
             self._take,
             self._ready,
-            most=int(CALLERS_PART * sockets),
+            most=most_callers,
             most_bytes=int(BODIES_PART * config.limits.memory_mb * 1_000_000),
         )
         self._discovery = Discovery(
