Count a request's time from its arrival, also where a busy loop reads it late

What a busy loop reads 0.8 s late was answered 0.8 s late: more than half a second after its time a request is lost.

Seen in a test that keeps the loop for 0.8 s while a request with a deadline of 1 s comes: the module was given 975 ms (now 175 ms). Looked at: the loop's own time (uvloop moves it within a turn, and so tells no turn from the next), TCP_INFO (the system's, not to be had wherever sockets are not its own). At fault: Node._take. Turns marks each turn before its look at the sockets: what is read was not there in the look before. New connections are accepted one a turn; what still waits in the backlog counts from the first of these, for 1 s at the most.

--- a/fawngw/node/callers.py
+++ b/fawngw/node/callers.py
@@ -30,6 +30,7 @@
     answer,
 )
 from fawngw.node.polling import polls
+from fawngw.node.turns import Turns
 
 log = logging.getLogger(__name__)
 
@@ -52,6 +53,7 @@
 IDLE_S = 60.0
 STUCK_S = 0.5  # when there is no room, a request that has not come, or not whole, by now makes way
 NEWCOMERS_PART = 0.5  # of the limit: with more that brought no request yet they make way for one another
+WAITING_MOST_S = 1.0  # to be accepted: with newcomers in every turn nothing tells when the last of them came
 LINGER_S = 0.5  # after an early answer the caller may read it: closing on its unread input resets at once
 IGNORED_MOST = 256 * 1024
 FULL_RETRY_S = 0.5
@@ -77,11 +79,12 @@
 class Exchange:
     """One request of a caller's and the place of its one answer."""
 
-    __slots__ = ("_connection", "close", "gone", "on_gone", "output", "size")
+    __slots__ = ("_connection", "arrived", "close", "gone", "on_gone", "output", "size")
 
-    def __init__(self, connection: CallerConnection, close: bool) -> None:
+    def __init__(self, connection: CallerConnection, close: bool, arrived: float = 0.0) -> None:
         self._connection = connection
         self.close = close
+        self.arrived = arrived  # the earliest that its last byte can have come (monotonic)
         self.gone = False
         self.size = 0  # bytes of its body, counted while it is open
         self.output: bytes | None = None
@@ -122,12 +125,15 @@
         self._exchanges: deque[Exchange] = deque()
         self._deaf = False  # its last request has come: what follows is not read
         self._over = False  # it has had its last answer
+        self._made = 0.0  # it has come up after this time
+        self._arrived = 0.0  # what is being read has come after this time
         self._choked = False  # the caller does not read what it gets
         self._ignored = 0  # bytes read away
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)  # uvloop's are no subclass
         self.since = self.callers.now()
+        self._made = self.callers.accepted_since()
         self.callers.opened(self)
 
     def idle(self) -> bool:
@@ -194,6 +200,9 @@
             self._ignored += len(data)
             self._pace()
             return
+        self._arrived = self.callers.turns.since()
+        if not self.answered and self._arrived <= self.since:
+            self._arrived = self._made  # it may have come with the connection, and waited as long as that one
         if self.answered and self.idle():
             self.since = self.callers.now()
         try:
@@ -206,7 +215,7 @@
         self._pace()
 
     def _on_request(self, message: Message) -> None:
-        exchange = Exchange(self, not message.keep_alive)
+        exchange = Exchange(self, not message.keep_alive, self._arrived)
         self._exchanges.append(exchange)
         if exchange.close:
             self.stop_reading()
@@ -353,6 +362,7 @@
         settings: Settings,
         take: Callable[[Ask, Exchange], None],
         ready: Callable[[], bool],
+        turns: Turns,
         most: int,
         most_bytes: int,
     ) -> None:
@@ -366,6 +376,8 @@
         self._most = most
         self._most_bytes = most_bytes
         self._bytes = 0
+        self.turns = turns
+        self._waiting_since: float | None = None  # when the first of those still to be accepted may have come
         self._loop = asyncio.get_running_loop()
         self._open: set[CallerConnection] = set()
         self._unread: set[CallerConnection] = set()  # those whose reading is paused
@@ -400,6 +412,17 @@
         if len(self._open) > self._most and not self._shed_one(connection) and self._overflows():
             connection.drop()
 
+    def accepted_since(self) -> float:
+        """The time after which the connection accepted just now has come.
+
+        The loop accepts one in a turn: what still waits behind it may have come as early.
+        """
+        since = self.turns.since()
+        if self._waiting_since is not None:
+            since = min(since, max(self._waiting_since, self.now() - WAITING_MOST_S))
+        self._waiting_since = since if self._unaccepted() else None
+        return since
+
     def closed(self, connection: CallerConnection) -> None:
         self._forget(connection)
         self._unread.discard(connection)
--- a/fawngw/node/node.py
+++ b/fawngw/node/node.py
@@ -44,6 +44,7 @@
 from fawngw.node.discovery import Discovery, Listing
 from fawngw.node.http import CONTENT_TYPE, REQUEST_ID, Message, MessageError, request_head
 from fawngw.node.servers import Call, Servers
+from fawngw.node.turns import Turns
 
 log = logging.getLogger(__name__)
 
@@ -118,6 +119,7 @@
         self._config = config
         self._loop = asyncio.get_running_loop()
         self._clock = Clock()
+        self._turns = Turns()
         self._balancer = Balancer(settings, config.seed)
         self._events: deque[Event] = deque()
         self._handling = False
@@ -142,6 +144,7 @@
             settings,
             self._take,
             self._ready,
+            self._turns,
             most=most_callers,
             most_bytes=int(BODIES_PART * config.limits.memory_mb * 1_000_000),
         )
@@ -196,6 +199,7 @@
         self._events.append(event)
         if self._handling:
             return
+        self._turns.note()
         self._handling = True
         try:
             while self._events:
@@ -257,10 +261,11 @@
         now = self._clock.now()
         self._last_id += 1
         request = self._last_id
-        budget = ask.budget_ms
+        # Counted from its arrival: a busy loop reads it late, and the caller waits no longer for that.
+        budget = ask.budget_ms - 1000.0 * (time.monotonic() - exchange.arrived)
         if self._terminated_at is not None:
             budget = min(budget, 1000.0 * (self._terminated_at + self._last_s - time.monotonic()))
-        budget = max(1.0, budget - min(RESERVE_MS, RESERVE_MOST * budget))
+        budget = max(1.0, budget - min(RESERVE_MS, RESERVE_MOST * ask.budget_ms))
         self._requests[request] = Pending(
             ask.message,
             exchange,
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -11,13 +11,14 @@
 import os
 import socket
 import struct
+import time
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
 import pytest
 
-from fawngw.interface import Action, AttemptEnded, Event, Outcome, TimerFired
+from fawngw.interface import Action, Arrival, AttemptEnded, Event, Outcome, TimerFired
 from fawngw.node import callers as callers_module
 from fawngw.node import node as node_module
 from fawngw.node.callers import PACE_PIPELINED, CallerConnection
@@ -595,3 +596,80 @@
             server.release.set()
 
     run(main())
+
+
+# ---------------------------------------------------------------- a busy loop
+
+
+def _budgets(node: Node, monkeypatch: pytest.MonkeyPatch) -> list[float]:
+    """The time that the module is given for each request, as they come."""
+    budgets: list[float] = []
+    handle = node._balancer.handle
+
+    def recording(event: Event, now: float) -> list[Action]:
+        if isinstance(event, Arrival):
+            budgets.append(event.budget_ms)
+        return handle(event, now)
+
+    monkeypatch.setattr(node._balancer, "handle", recording)
+    return budgets
+
+
+class _StandingClock:
+    """The time that the node reads: it moves only when told to, so that no test hangs on the machine."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.now = time.monotonic()
+        monkeypatch.setattr(time, "monotonic", lambda: self.now)
+
+
+async def _idle_turns(clock: _StandingClock) -> None:
+    """Turns in which nothing is done, each look at the sockets waiting for a while."""
+    for _ in range(5):
+        await asyncio.sleep(0)
+        clock.now += 1.0
+
+
+@pytest.mark.parametrize("new", [True, False], ids=["new connection", "open connection"])
+def test_the_time_of_a_request_counts_from_its_arrival_where_a_busy_loop_reads_it_late(
+    new: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Something keeps the loop for 0.8 s, in which requests with deadlines of 1 s and 0.5 s come."""
+
+    async def main() -> None:
+        async with StubServer([reply("200 OK", b"x")]) as server, world(row("a", server.address)) as w:
+            callers = [] if new else [_blocking(w.address) for _ in range(2)]
+            await until(lambda: len([c for c in w.node._callers._open if c.answered]) == len(callers))
+            budgets = _budgets(w.node, monkeypatch)
+            clock = _StandingClock(monkeypatch)
+            await _idle_turns(clock)
+            w.node._turns.note()  # here it begins to be busy
+            for i, deadline in enumerate(("1.0", "0.5")):
+                if new:
+                    callers.append(socket.create_connection(w.address, timeout=PATIENCE_S))
+                callers[i].sendall(request("look", deadline=deadline))
+            clock.now += 0.8
+            await until(lambda: len(budgets) == 2)
+            assert sorted(budgets) == [1.0, pytest.approx(200.0 - node_module.RESERVE_MS, abs=1e-3)]
+            monkeypatch.undo()
+            for caller in callers:
+                caller.close()
+
+    run(main())
+
+
+def test_the_time_of_a_request_that_an_idle_loop_reads_is_not_cut(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def main() -> None:
+        async with StubServer([reply("200 OK", b"x")]) as server, world(row("a", server.address)) as w:
+            with _blocking(w.address) as caller:
+                await until(lambda: any(c.answered for c in w.node._callers._open))
+                budgets = _budgets(w.node, monkeypatch)
+                clock = _StandingClock(monkeypatch)
+                w.node._turns.note()
+                await _idle_turns(clock)
+                caller.sendall(request("look", deadline="1.0"))
+                await until(lambda: budgets)
+                assert budgets == [pytest.approx(1000.0 - node_module.RESERVE_MS, abs=1e-3)]
+                monkeypatch.undo()
+
+    run(main())
