--- a/fawngw/decide.py
+++ b/fawngw/decide.py
@@ -297,6 +297,7 @@
     """An exponentially fading count of units a millisecond, true from its first moments on."""
 
     span: float
+    least: float = 1.0  # what came within less time than this, in milliseconds, counts as that long
     start: float | None = None
     count: float = 0.0
     at: float = 0.0
@@ -310,7 +311,9 @@
     def per_ms(self, now: float) -> float:
         if self.start is None:
             return 0.0
-        return self._faded(now) / (self.span * (1.0 - math.exp(-max(now - self.start, 1.0) / self.span)))
+        return self._faded(now) / (
+            self.span * (1.0 - math.exp(-max(now - self.start, self.least) / self.span))
+        )
 
     def _faded(self, now: float) -> float:
         return self.count * math.exp(-(now - self.at) / self.span) if self.count else 0.0
@@ -423,7 +426,9 @@
         self._patience = Patience()
         self._class_patience = [Patience() for _ in settings.classes]
         self._cost = 0.0  # mean cost hint
-        self._sent = Rate(settings.cold_ms or 1000.0)  # units sent to warm servers
+        self._first_sent: float | None = None
+        # Units answered: what is sent is more than servers bear when fewer of them are left.
+        self._borne = Rate(settings.cold_ms or 1000.0, settings.fall_window_ms)
         self._limit = 0.0  # set by the first list
         self._strained = False
         self._strain = 0.0
@@ -833,7 +838,7 @@
 
     def _warm_flow(self) -> float:
         """Units a millisecond that this node sends for each warm server's worth of capacity."""
-        return self._sent.per_ms(self._now) / self._capacity()
+        return self._borne.per_ms(self._now) / self._capacity()
 
     def _cold_allows(self, server: Server, ramp: float, units: float, flow: float) -> bool:
         """Rule 4: a cold server gets the rising part of what this node sends a warm one, times COLD_TIMES.
@@ -841,7 +846,7 @@
         Every node does so alone; together they then send it its part of what warm servers bear, which
         leaves the rest of the multiple that the rule allows as a margin for chance and for heavy requests.
         """
-        rate = COLD_TIMES * ramp * flow
+        rate = min(COLD_TIMES, 0.5 * self.settings.fall_multiple) * ramp * flow
         most = max(1.0, rate * self.settings.fall_window_ms)
         server.tokens = min(most, server.tokens + rate * (self._now - server.tokens_at))
         server.tokens_at = self._now
@@ -870,7 +875,8 @@
         server.out[request.id, number] = now
         self._attempts[request.id, number] = (server, attempt)
         server.tokens -= request.units
-        self._sent.add(request.units, now)
+        if self._first_sent is None:
+            self._first_sent = now
         self._watch(request)
         if self._doubts(request, server):
             self._actions.append(CloseIdle(server.entry.server))
@@ -1011,6 +1017,7 @@
                 aim = request.kind.aim_ms
             # Heavy work says little of its server or the load: what the cost hint foretold is half taken out.
             usual = elapsed / (0.5 + 0.5 * attempt.units)
+            self._borne.add(attempt.units, self._now)
             self._calm_down(usual)
             self._feel(elapsed / aim)
             self.automaton.learn(name, usual)
@@ -1181,7 +1188,7 @@
 
     def _calm_known(self) -> bool:
         """The first answers to come back are the quick ones: a mean of those alone is too calm for long."""
-        start = self._sent.start
+        start = self._first_sent
         if start is None or self._answers < CALM_AFTER:
             return False
         return self._now - start >= CALM_TURNS * self._level
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -47,7 +47,7 @@
     play = fleet(warm=2, cold=2)
     balancer = play.balancer
     balancer._now = play.now + 0.5 * COLD_MS
-    each = balancer._sent.per_ms(balancer._now) / (2 + 2 * 0.6)
+    each = balancer._borne.per_ms(balancer._now) / (2 + 2 * 0.6)
     assert balancer._warm_flow() == pytest.approx(each)
 
 
