Take long lists in proportion to their length, and traded addresses as they are listed

Servers.update looked for the holder of each address through all servers: a list of 2,048 took 217 ms, of 1,024 53 ms (now 3.9 and 2.4). At fault: Servers._at. And two servers that trade addresses in one list were told to the module as gone behind the list that names them, as 'replaced' kept one that has another address by the end. No cap was found on lists of servers or nodes: 1,500 of each are used whole (test). A request costs 4.7 ms before 1,024 servers and 9.0 before 2,048: in proportion, and not mended.

--- a/fawngw/node/servers.py
+++ b/fawngw/node/servers.py
@@ -195,6 +195,7 @@
         self._idle_s = IDLE_PART * idle_s
         self._most_open = most_open
         self._peers: dict[ServerId, Peer] = {}
+        self._at: dict[tuple[str, int], ServerId] = {}  # who listens there by the list
         self._open: set[Connection] = set()
         self._opening: set[asyncio.Task[None]] = set()
         self._sweeper = self._loop.call_later(SWEEP_S, self._sweep)
@@ -216,8 +217,8 @@
                 self._drop(entry.server)
                 continue
             address = listing.addresses[entry.server]
-            rival = self._at(address, entry.server)
-            if rival is not None:
+            rival = self._at.get(address)
+            if rival is not None and rival != entry.server:
                 older = entry.server if self._peers[rival].started_ms > entry.started_ms else rival
                 self._drop(older)
                 replaced.append(older)
@@ -228,15 +229,13 @@
                 self._drop(entry.server)
                 name = entry.server.decode(errors="replace")
                 self._peers[entry.server] = Peer(name, address, entry.started_ms, self._idle_s)
-        return replaced
-
-    def _at(self, address: tuple[str, int], other_than: ServerId) -> ServerId | None:
-        found = (s for s, peer in self._peers.items() if peer.address == address and s != other_than)
-        return next(found, None)
+                self._at[address] = entry.server
+        return [server for server in replaced if server not in self._peers]  # else it is at another address
 
     def _drop(self, server: ServerId) -> None:
         peer = self._peers.pop(server, None)
         if peer is not None:
+            self._at.pop(peer.address, None)
             peer.current = False
             self._shed(list(peer.idle))
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -628,3 +628,13 @@
         for number in play.live(request):
             play.end(request, number, Outcome.FULL)
     assert play.balancer._strain > 1.0
+
+
+def test_a_list_of_more_than_a_thousand_servers_and_nodes_is_used_whole() -> None:
+    settings = Settings(classes=(SAFE,), balancers=1500, ordinal=1400)
+    play = Surrounding(settings, seed=3)
+    play.list_of([ServerEntry(b"%d" % i) for i in range(1500)])
+    assert len(play.balancer.automaton.servers) == 1500
+    assert abs(sum(play.balancer.automaton.p) - 1.0) < 1e-9
+    request = play.arrive()
+    assert play.live(request)
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -252,6 +252,56 @@
     run(main())
 
 
+class _Address(tuple[str, int]):
+    """An address that counts how often it is compared."""
+
+    compared = 0
+    __hash__ = tuple.__hash__
+
+    def __eq__(self, other: object) -> bool:
+        _Address.compared += 1
+        return tuple.__eq__(self, other)
+
+
+@pytest.mark.parametrize("count", [1024, 4096])
+def test_a_long_list_is_taken_whole_and_costs_in_proportion_to_its_length(count: int) -> None:
+    async def main() -> None:
+        servers = Servers(connect_s=0.15, idle_s=30.0, most_open=100)
+        rows = [row(f"s{i}", f"{HOST}:{1 + i}") for i in range(count)]
+        whole = Naming((), ()).read(listing(1, *rows))
+        for name, address in whole.addresses.items():
+            whole.addresses[name] = _Address(address)
+        _Address.compared = 0
+        assert servers.update(whole) == []
+        assert servers.update(whole) == []
+        assert _Address.compared <= 8 * count
+        assert len(servers._peers) == count
+        servers.close()
+
+    run(main())
+
+
+def test_servers_that_trade_addresses_are_each_found_at_their_new_one() -> None:
+    async def main() -> None:
+        naming = Naming((), ())
+        async with (
+            StubServer([reply("200 OK", b"1")]) as one,
+            StubServer([reply("200 OK", b"2")]) as two,
+            attempts(one.address) as a,
+        ):
+            a.servers.update(naming.read(listing(2, row("b", two.address), reset=False)))
+            traded = row("a", two.address, started=5.0), row("b", one.address, started=5.0)
+            assert a.servers.update(naming.read(listing(3, *traded, reset=False))) == [], "both are listed"
+            assert (await a.begin(server=b"a")[1])[1] == b"2"
+            assert (await a.begin(server=b"b")[1])[1] == b"1"
+            a.servers.update(naming.read(listing(4, row("a", two.address, "DRAINING"), reset=False)))
+            assert (await a.begin(server=b"a")[1])[0] is Outcome.CONNECT_FAILED
+            back = listing(5, row("c", two.address, started=9.0), reset=False)
+            assert a.servers.update(naming.read(back)) == []
+
+    run(main())
+
+
 def test_idle_connections_close_well_before_the_server_would() -> None:
     async def main() -> None:
         async with StubServer([reply("200 OK")]) as server, attempts(server.address, idle_s=0.0) as a:
