Make room for calls in work by the tiers behind, as the start's bound does

Nodes refused with 'limit False 10.4 part False 10.4 out 11.1 rate 4.1 least 1542 level 2547 ... press 0.75': the bound was the start's, as 1.4 times what is in work at the calmest latency stayed under it, and answers of 1.7 times that latency, which are no strain, keep it so for good. At fault: Balancer._bearable; _start_limit already makes room for each tier behind, and what is in work strays as much with each. Both take the same factor now; with two tiers nothing changes.

--- a/fawngw/decide.py
+++ b/fawngw/decide.py
@@ -693,12 +693,18 @@
         """
         calm = self._calm if self._calm < math.inf else self._least_usual
         working = self._served.per_ms(self._now) * calm if calm < math.inf else 0.0
-        return max(self._start_limit(), WORK_TIMES * working)
+        return max(self._start_limit(), WORK_TIMES * self._depth() * working)
 
     def _start_limit(self) -> float:
-        """A server holds its slot while it waits for the tiers behind it: there is room for each."""
-        tiers = self.settings.stages - self.settings.stage
-        return LIMIT_START * max(1.0, tiers / 2) * self._part()
+        return LIMIT_START * self._depth() * self._part()
+
+    def _depth(self) -> float:
+        """A server holds its slot while it waits for the tiers behind it: there is room for each.
+
+        Also in what is in work: each tier adds to how far answers stray from the calmest.  With three tiers
+        answers of 1.7 times the calmest, no strain, held the bound where it was for good.
+        """
+        return max(1.0, (self.settings.stages - self.settings.stage) / 2)
 
     def _place(self, request: Request, last_resort: bool) -> bool:
         pool = self._pool(request, last_resort)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -638,3 +638,21 @@
     assert abs(sum(play.balancer.automaton.p) - 1.0) < 1e-9
     request = play.arrive()
     assert play.live(request)
+
+
+def test_a_third_tier_makes_room_for_calls_in_work_as_it_does_at_the_start() -> None:
+    """Seen with three tiers: answers of 1.7 times the calmest are no strain, and two of three requests were
+    refused on a calm day, as the bound let no more into work than it let out."""
+    bounds = []
+    for stages in (2, 3):
+        play = Surrounding(Settings(classes=(SAFE,), stages=stages), seed=3)
+        play.list_of([ServerEntry(b"a")])
+        balancer = play.balancer
+        balancer._now, balancer._calm = play.now, 1000.0
+        balancer._served.add(1.0, play.now - 1000.0)
+        balancer._served.add(30.0, play.now)  # a second's, of which as many are in work
+        working = 1000.0 * balancer._served.per_ms(play.now)
+        assert balancer._start_limit() < working
+        bounds.append(balancer._bearable() / working)
+    assert bounds[1] == pytest.approx(1.5 * bounds[0])
+    assert bounds[1] > 1.7
