--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -4,6 +4,8 @@
 
 from collections.abc import Iterable
 
+import pytest
+
 from fawngw import Balancer
 from fawngw.decide import BUDGET_PLUS, BUDGET_TIMES
 from fawngw.interface import (
