--- a/fawngw/decide.py
+++ b/fawngw/decide.py
@@ -135,6 +135,10 @@
 HOME = 6  # servers that a node keeps to, up to twice as many: of so few half may fail and leave a choice
 HOME_COVER = 3  # nodes that must share each server at the least, for their walks to cancel out
 
+# Whatever the settings allow after a failed call for the list, a change counts as told 6 s after discovery
+# had it and could be reached: two calls may fail in that time, each waited for and paused after this long.
+ASK_MOST_MS = 6000.0 / 6
+
 
 # ---------------------------------------------------------------- the automaton
 
@@ -293,6 +297,7 @@
     """An exponentially fading count of units a millisecond, true from its first moments on."""
 
     span: float
+    least: float = 1.0  # what came within less time than this, in milliseconds, counts as that long
     start: float | None = None
     count: float = 0.0
     at: float = 0.0
@@ -306,7 +311,9 @@
     def per_ms(self, now: float) -> float:
         if self.start is None:
             return 0.0
-        return self._faded(now) / (self.span * (1.0 - math.exp(-max(now - self.start, 1.0) / self.span)))
+        return self._faded(now) / (
+            self.span * (1.0 - math.exp(-max(now - self.start, self.least) / self.span))
+        )
 
     def _faded(self, now: float) -> float:
         return self.count * math.exp(-(now - self.at) / self.span) if self.count else 0.0
@@ -419,7 +426,9 @@
         self._patience = Patience()
         self._class_patience = [Patience() for _ in settings.classes]
         self._cost = 0.0  # mean cost hint
-        self._sent = Rate(settings.cold_ms or 1000.0)  # units sent to warm servers
+        self._first_sent: float | None = None
+        # Units answered: what is sent is more than servers bear when fewer of them are left.
+        self._borne = Rate(settings.cold_ms or 1000.0, settings.fall_window_ms)
         self._limit = 0.0  # set by the first list
         self._strained = False
         self._strain = 0.0
@@ -515,7 +524,7 @@
         if event.kind is ListKind.CACHED:
             if self.settings.ask_for_list:
                 # All nodes may start at once: spread their first calls, well inside the time to ask.
-                self._plan_ask(self._rng.random() * 0.3 * self.settings.must_ask_ms)
+                self._plan_ask(self._rng.random() * min(0.3 * self.settings.must_ask_ms, ASK_MOST_MS))
         else:
             self._subscribed = True
             if self._asks_failed:
@@ -573,10 +582,10 @@
         if self._subscribed:
             return
         self._actions.append(Subscribe())
-        self._plan_ask(0.5 * self.settings.must_ask_ms)  # in case no reply comes
+        self._plan_ask(min(0.5 * self.settings.must_ask_ms, 2 * ASK_MOST_MS))  # in case no reply comes
 
     def _ask_pause(self) -> float:
-        longest = 0.5 * self.settings.must_ask_ms
+        longest = min(0.5 * self.settings.must_ask_ms, ASK_MOST_MS)
         pause = min(longest, 0.1 * self.settings.must_ask_ms * 2.0 ** min(self._asks_failed - 1, 10))
         return pause * (0.5 + 0.5 * self._rng.random())
 
@@ -829,7 +838,7 @@
 
     def _warm_flow(self) -> float:
         """Units a millisecond that this node sends for each warm server's worth of capacity."""
-        return self._sent.per_ms(self._now) / self._capacity()
+        return self._borne.per_ms(self._now) / self._capacity()
 
     def _cold_allows(self, server: Server, ramp: float, units: float, flow: float) -> bool:
         """Rule 4: a cold server gets the rising part of what this node sends a warm one, times COLD_TIMES.
@@ -837,7 +846,7 @@
         Every node does so alone; together they then send it its part of what warm servers bear, which
         leaves the rest of the multiple that the rule allows as a margin for chance and for heavy requests.
         """
-        rate = COLD_TIMES * ramp * flow
+        rate = min(COLD_TIMES, 0.5 * self.settings.fall_multiple) * ramp * flow
         most = max(1.0, rate * self.settings.fall_window_ms)
         server.tokens = min(most, server.tokens + rate * (self._now - server.tokens_at))
         server.tokens_at = self._now
@@ -866,7 +875,8 @@
         server.out[request.id, number] = now
         self._attempts[request.id, number] = (server, attempt)
         server.tokens -= request.units
-        self._sent.add(request.units, now)
+        if self._first_sent is None:
+            self._first_sent = now
         self._watch(request)
         if self._doubts(request, server):
             self._actions.append(CloseIdle(server.entry.server))
@@ -1007,6 +1017,7 @@
                 aim = request.kind.aim_ms
             # Heavy work says little of its server or the load: what the cost hint foretold is half taken out.
             usual = elapsed / (0.5 + 0.5 * attempt.units)
+            self._borne.add(attempt.units, self._now)
             self._calm_down(usual)
             self._feel(elapsed / aim)
             self.automaton.learn(name, usual)
@@ -1177,7 +1188,7 @@
 
     def _calm_known(self) -> bool:
         """The first answers to come back are the quick ones: a mean of those alone is too calm for long."""
-        start = self._sent.start
+        start = self._first_sent
         if start is None or self._answers < CALM_AFTER:
             return False
         return self._now - start >= CALM_TURNS * self._level
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -11,15 +11,17 @@
 import os
 import socket
 import struct
+import time
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
 import pytest
 
-from fawngw.interface import Action, AttemptEnded, Event, Outcome, TimerFired
+from fawngw.interface import Action, Arrival, AttemptEnded, Event, Outcome, TimerFired
+from fawngw.node import callers as callers_module
 from fawngw.node import node as node_module
-from fawngw.node.callers import PACE_PIPELINED
+from fawngw.node.callers import PACE_PIPELINED, CallerConnection
 from fawngw.node.node import Node
 from tests.stubs import (
     HOST,
@@ -27,6 +29,7 @@
     Caller,
     StubDiscovery,
     StubServer,
+    World,
     held,
     listing,
     read_head,
@@ -225,6 +228,161 @@
     run(main())
 
 
+def _bookings_behind_one(late_check: pytest.MonkeyPatch) -> bytes:
+    """Two requests on one connection, which is then read no further; only an attempt's own look remains."""
+    late_check.setattr(callers_module, "LEFT_CHECK_S", PATIENCE_S)
+    return request("look", deadline="600") + request("book", deadline="600")
+
+
+def test_nothing_begins_on_a_connection_that_comes_up_after_an_unread_client_left(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def main() -> None:
+        async with StubServer([silent]) as server, world(row("a", server.address)) as w:
+            late = _late(w.node, monkeypatch)
+            caller = await w.caller()
+            caller.writer.write(_bookings_behind_one(monkeypatch))
+            await until(lambda: len(w.node._servers._opening) == 2)
+            caller.close()
+            await until(lambda: next(iter(w.node._callers._open)).has_left())
+            late.release.set()
+            await until(lambda: not w.node._servers._opening)
+            assert not w.node._requests and not w.node._calls and not w.node._held
+            await until(lambda: not w.node._callers._open)
+            assert not server.received
+
+    run(main())
+
+
+@pytest.mark.parametrize("outcome", [Outcome.CONNECT_FAILED, Outcome.RESET, Outcome.FULL])
+def test_no_further_attempt_begins_in_the_turn_before_the_client_s_end_is_read(outcome: Outcome) -> None:
+    """The client's end and the outcome that asks for a retry are both there when the loop turns."""
+
+    async def main() -> None:
+        async with (
+            StubServer([silent]) as one,
+            StubServer([silent]) as two,
+            world(row("a", one.address), row("b", two.address)) as w,
+        ):
+            caller = _blocking(w.address)
+            await until(lambda: one.received or two.received)
+            caller.close()
+            ((_, call),) = w.node._calls.items()
+            call.give_up(outcome)
+            assert not w.node._requests and not w.node._calls and not w.node._held
+            assert not w.node._balancer._requests and not w.node._balancer._attempts
+            await until(lambda: not w.node._callers._open)
+            assert len(one.received) + len(two.received) == 1
+
+    run(main())
+
+
+def test_no_attempt_begins_for_a_client_that_left_while_its_request_was_queued(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """In the module's queue, with a place becoming free before the loop reads the client's end."""
+
+    async def main() -> None:
+        async with StubServer([silent]) as server, world(row("a", server.address)) as w:
+            monkeypatch.setattr(w.node._balancer, "_place", lambda *_: False)
+            monkeypatch.setattr(w.node._balancer, "_expire", lambda _: None)
+            caller = _blocking(w.address)
+            await until(lambda: w.node._balancer._queue)
+            caller.close()
+            monkeypatch.undo()
+            w.node._post(TimerFired(0))
+            assert not w.node._requests and not w.node._calls and not w.node._balancer._queue
+            await until(lambda: not w.node._callers._open)
+            assert not server.received
+
+    run(main())
+
+
+# ---------------------------------------------------------------- closing between requests
+
+
+async def _rested(w: World) -> tuple[socket.socket, CallerConnection]:
+    """A usual caller whose first request has been answered, and the node's end of its connection."""
+    caller = _blocking(w.address)
+    (connection,) = await until(lambda: [c for c in w.node._callers._open if c.answered])
+    return caller, connection
+
+
+def test_a_request_that_lies_unread_is_not_closed_on_to_make_way_for_a_newcomer() -> None:
+    """It has been taken, and the close would reset it with no answer."""
+
+    async def main() -> None:
+        async with StubServer([reply("200 OK", b"x")]) as server, world(row("a", server.address)) as w:
+            caller, connection = await _rested(w)
+            with caller:
+                caller.sendall(request("look"))  # and before the loop turns
+                assert not w.node._callers._shed_one(CallerConnection(w.node._callers))
+                assert connection in w.node._callers._open
+                answers = asyncio.create_task(_read_answer(caller))
+                await until(lambda: len(server.received) == 2)
+                connection.make_way()
+                assert (await answers).count(b"200 OK") == 2
+
+    run(main())
+
+
+@pytest.mark.parametrize("within", [False, True], ids=["idle", "half a request"])
+def test_a_request_that_lies_unread_is_not_closed_on_when_the_time_between_requests_is_over(
+    within: bool,
+) -> None:
+    async def main() -> None:
+        async with StubServer([reply("200 OK", b"x")]) as server, world(row("a", server.address)) as w:
+            caller, connection = await _rested(w)
+            text = request("look")
+            with caller:
+                if within:
+                    caller.sendall(text[:30])
+                    await until(lambda: connection._reader.within)
+                caller.sendall(text[30 if within else 0 :])
+                most = callers_module.REQUEST_S if within else callers_module.IDLE_S
+                connection.check(connection.since + most + 0.01)  # before the loop turns
+                answers = asyncio.create_task(_read_answer(caller))
+                await until(lambda: len(server.received) == 2)
+                connection.make_way()
+                assert (await answers).count(b"200 OK") == 2
+
+    run(main())
+
+
+def test_a_newcomer_costs_a_few_looks_however_many_connections_are_open(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    looks = 0
+    may_go = CallerConnection.may_go
+
+    def counted(connection: CallerConnection, now: float) -> bool:
+        nonlocal looks
+        looks += 1
+        return may_go(connection, now)
+
+    monkeypatch.setattr(CallerConnection, "may_go", counted)
+
+    async def main() -> None:
+        nonlocal looks
+        async with StubServer([reply("200 OK")]) as server, world(row("a", server.address)) as w:
+            most = w.node._callers._most
+            open_ones = [await w.caller() for _ in range(most)]
+            for caller in open_ones:
+                caller.writer.write(request("look")[:30])  # none of them may go yet
+            await until(lambda: len(w.node._callers._lines[3]) == most)
+            looks = 0
+            newcomer = await w.caller()
+            await until(lambda: len(w.node._callers._open) == most + 1)
+            assert 0 < looks <= 4 * callers_module.LOOKS
+            for caller in open_ones:
+                caller.close()
+            newcomer.close()
+            await until(lambda: not w.node._callers._open)
+            assert not any(w.node._callers._lines), "a line holds on to what has gone"
+
+    run(main())
+
+
 # ---------------------------------------------------------------- the end
 
 
@@ -268,6 +426,7 @@
 def _blocking(address: tuple[str, int]) -> socket.socket:
     """A caller that acts at once, while the node's loop stands still."""
     caller = socket.create_connection(address, timeout=PATIENCE_S)
+    caller.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     caller.sendall(request("look"))
     return caller
 
@@ -437,3 +596,80 @@
             server.release.set()
 
     run(main())
+
+
+# ---------------------------------------------------------------- a busy loop
+
+
+def _budgets(node: Node, monkeypatch: pytest.MonkeyPatch) -> list[float]:
+    """The time that the module is given for each request, as they come."""
+    budgets: list[float] = []
+    handle = node._balancer.handle
+
+    def recording(event: Event, now: float) -> list[Action]:
+        if isinstance(event, Arrival):
+            budgets.append(event.budget_ms)
+        return handle(event, now)
+
+    monkeypatch.setattr(node._balancer, "handle", recording)
+    return budgets
+
+
+class _StandingClock:
+    """The time that the node reads: it moves only when told to, so that no test hangs on the machine."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.now = time.monotonic()
+        monkeypatch.setattr(time, "monotonic", lambda: self.now)
+
+
+async def _idle_turns(clock: _StandingClock) -> None:
+    """Turns in which nothing is done, each look at the sockets waiting for a while."""
+    for _ in range(5):
+        await asyncio.sleep(0)
+        clock.now += 1.0
+
+
+@pytest.mark.parametrize("new", [True, False], ids=["new connection", "open connection"])
+def test_the_time_of_a_request_counts_from_its_arrival_where_a_busy_loop_reads_it_late(
+    new: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Something keeps the loop for 0.8 s, in which requests with deadlines of 1 s and 0.5 s come."""
+
+    async def main() -> None:
+        async with StubServer([reply("200 OK", b"x")]) as server, world(row("a", server.address)) as w:
+            callers = [] if new else [_blocking(w.address) for _ in range(2)]
+            await until(lambda: len([c for c in w.node._callers._open if c.answered]) == len(callers))
+            budgets = _budgets(w.node, monkeypatch)
+            clock = _StandingClock(monkeypatch)
+            await _idle_turns(clock)
+            w.node._turns.note()  # here it begins to be busy
+            for i, deadline in enumerate(("1.0", "0.5")):
+                if new:
+                    callers.append(socket.create_connection(w.address, timeout=PATIENCE_S))
+                callers[i].sendall(request("look", deadline=deadline))
+            clock.now += 0.8
+            await until(lambda: len(budgets) == 2)
+            assert sorted(budgets) == [1.0, pytest.approx(200.0 - node_module.RESERVE_MS, abs=1e-3)]
+            monkeypatch.undo()
+            for caller in callers:
+                caller.close()
+
+    run(main())
+
+
+def test_the_time_of_a_request_that_an_idle_loop_reads_is_not_cut(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def main() -> None:
+        async with StubServer([reply("200 OK", b"x")]) as server, world(row("a", server.address)) as w:
+            with _blocking(w.address) as caller:
+                await until(lambda: any(c.answered for c in w.node._callers._open))
+                budgets = _budgets(w.node, monkeypatch)
+                clock = _StandingClock(monkeypatch)
+                w.node._turns.note()
+                await _idle_turns(clock)
+                caller.sendall(request("look", deadline="1.0"))
+                await until(lambda: budgets)
+                assert budgets == [pytest.approx(1000.0 - node_module.RESERVE_MS, abs=1e-3)]
+                monkeypatch.undo()
+
+    run(main())
