End with 0 whatever signals come while the process closes

SIGHUP while the loop closes after SIGTERM ended the process by that signal: the loop gives signals back to their defaults as it closes. Blocking them before the loop closes did not do by itself: 'main rc 0' was still followed by -1, as the interpreter's own end follows; main ignores them from there. At fault: __main__._serve and main.

--- a/fawngw/__main__.py
+++ b/fawngw/__main__.py
@@ -15,12 +15,18 @@
 from fawngw.node.node import Node
 
 
+_ENDING = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
+
+
 async def _serve(config: Config) -> None:
     node = Node(config)
     # What exists now lives as long as the node: leave it out of every later collection.
     gc.freeze()
     await node.start()
     await node.wait()
+    # The loop gives the signals back to their defaults as it closes, and one of these would end the process
+    # before it has ended well: what comes from here on is left pending.
+    signal.pthread_sigmask(signal.SIG_BLOCK, _ENDING)
 
 
 class _RateLimit(logging.Filter):
@@ -57,6 +63,8 @@
     try:
         config = load(os.environ)
         uvloop.run(_serve(config))
+        for number in _ENDING:
+            signal.signal(number, signal.SIG_IGN)
     except ConfigError as error:
         print(f"fawngw: {error}", file=sys.stderr)
         return 2
--- a/tests/test_run.py
+++ b/tests/test_run.py
@@ -174,6 +174,34 @@
             await asyncio.sleep(0.05)
 
 
+def test_a_flood_of_signals_while_the_process_ends_does_not_change_how_it_ends(tmp_path: Path) -> None:
+    """SIGHUP and SIGTERM come without pause from SIGTERM on, also while the loop closes."""
+
+    async def main() -> None:
+        async with StubServer([reply("200 OK")]) as server, StubDiscovery() as discovery:
+            config = tmp_path / "config.json"
+            raw = {
+                "seed": "1",
+                "discovery": discovery.address,
+                "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
+                "known": listing(1, row("a", server.address)),
+                "settings": settings(),
+            }
+            config.write_text(json.dumps(raw))
+            environment = {"NODE_NAME": "n0", "NODE_LISTEN": f"{HOST}:0", "NODE_CONFIG": str(config)}
+            process = await _start({**environment, "NODE_DISCOVERY": discovery.address})
+            await _listening(process)
+            process.send_signal(signal.SIGTERM)
+            while process.returncode is None:
+                with contextlib.suppress(ProcessLookupError):
+                    os.kill(process.pid, signal.SIGHUP)
+                    os.kill(process.pid, signal.SIGTERM)
+                await asyncio.sleep(0)
+            assert process.returncode == 0
+
+    run(main())
+
+
 def test_a_bad_configuration_is_one_line_and_exit_code_2(tmp_path: Path) -> None:
     async def main() -> None:
         config = tmp_path / "config.json"
