--- a/fawngw/__main__.py
+++ b/fawngw/__main__.py
@@ -14,7 +14,6 @@
 from fawngw.node.config import Config, ConfigError, load
 from fawngw.node.node import Node
 
-
 _ENDING = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
 
 
