--- a/tests/test_run.py
+++ b/tests/test_run.py
@@ -16,6 +16,7 @@
 import pytest
 
 from fawngw.__main__ import _RateLimit
+from fawngw.node import node as node_module
 from tests.stubs import (
     HOST,
     PATIENCE_S,
@@ -98,6 +99,32 @@
     run(main())
 
 
+def test_a_new_process_is_ready_with_little_work_though_the_agent_is_silent(tmp_path: Path) -> None:
+    """Within 10 s with a fifth of a core: by what its start takes of a processor, and what it waits for."""
+
+    async def main() -> None:
+        async with StubDiscovery(mute=True) as discovery:
+            config = tmp_path / "config.json"
+            rows = [row(f"s{i}", f"{HOST}:{1 + i}") for i in range(1024)]
+            raw = {
+                "seed": "1",
+                "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
+                "known": listing(1, *rows),
+                "settings": settings(registryMode="pushed"),
+            }
+            config.write_text(json.dumps(raw))
+            environment = {"NODE_NAME": "n0", "NODE_LISTEN": f"{HOST}:0", "NODE_CONFIG": str(config)}
+            process = await _start({**environment, "NODE_DISCOVERY": discovery.address})
+            await _ready(await _listening(process))
+            fields = Path(f"/proc/{process.pid}/stat").read_text().rpartition(")")[2].split()
+            used_s = (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+            process.send_signal(signal.SIGTERM)
+            assert await asyncio.wait_for(process.wait(), PATIENCE_S) == 0
+            assert used_s / 0.2 + node_module.KNOWN_WAIT_S < 10.0
+
+    run(main())
+
+
 @pytest.mark.parametrize("sockets", [64, 96, 256])
 def test_idle_clients_leave_descriptors_for_discovery_servers_and_requests(
     sockets: int, tmp_path: Path
