--- a/fawngw/decide.py
+++ b/fawngw/decide.py
@@ -821,10 +821,9 @@
             return False
         if kind.effect is Effect.SAFE:
             return True
-        if (
-            kind.effect is Effect.UNSAFE
-            or self._now - risky[0].sent >= kind.window_ms - self.settings.tick_ms
-        ):
+        # What is sent now may be written as late as a connection may come up: also then it is in the window.
+        latest = self._now + self.settings.connect_timeout_ms + self.settings.tick_ms
+        if kind.effect is Effect.UNSAFE or latest >= risky[0].sent + kind.window_ms:
             return False
         first = risky[0].entry
         if kind.group is RepeatGroup.ZONE:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -658,3 +658,19 @@
         bounds.append(balancer._bearable() / working)
     assert bounds[1] == pytest.approx(1.5 * bounds[0])
     assert bounds[1] > 1.7
+
+
+@pytest.mark.parametrize(("ended_ms", "again"), [(800.0, True), (850.0, False), (990.0, False)])
+def test_a_keyed_repeat_is_in_its_window_also_where_its_connection_comes_up_late(
+    ended_ms: float, again: bool
+) -> None:
+    """Seen where a third of the connections come up late: sent in the window, and written after it."""
+    kind = RequestClass("k", 1000, 3000, effect=Effect.KEYED, window_ms=1000.0)
+    play = Surrounding(Settings(classes=(kind,), connect_timeout_ms=150.0, max_attempts=3), seed=3)
+    play.list_of([ServerEntry(b"a"), ServerEntry(b"b")])
+    request = play.arrive()
+    (first,) = play.live(request)
+    play.step(ended_ms)
+    play.end(request, first, Outcome.RESET)
+    play.step(50.0)
+    assert bool(request in play.owed and list(play.live(request))) == again
