--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -70,18 +70,26 @@
     return late
 
 
-def _outcomes(node: Node, monkeypatch: pytest.MonkeyPatch) -> list[Outcome]:
-    """The outcomes that the module is told, as they come."""
-    outcomes: list[Outcome] = []
+def _events(node: Node, monkeypatch: pytest.MonkeyPatch) -> list[Event]:
+    """What the module is told, as it comes."""
+    events: list[Event] = []
     handle = node._balancer.handle
 
     def recording(event: Event, now: float) -> list[Action]:
-        if isinstance(event, AttemptEnded):
-            outcomes.append(event.outcome)
+        events.append(event)
         return handle(event, now)
 
     monkeypatch.setattr(node._balancer, "handle", recording)
-    return outcomes
+    return events
+
+
+def _outcomes(events: list[Event]) -> list[Outcome]:
+    return [event.outcome for event in events if isinstance(event, AttemptEnded)]
+
+
+def _budgets(events: list[Event]) -> list[float]:
+    """The time that the module is given for each request."""
+    return [event.budget_ms for event in events if isinstance(event, Arrival)]
 
 
 def _second_copy(node: Node, number: int, server: bytes) -> None:
@@ -152,7 +160,7 @@
             world(row("a", server.address), **_limits(cancel=cancel)) as w,
         ):
             late = _late(w.node, monkeypatch)
-            outcomes = _outcomes(w.node, monkeypatch)
+            events = _events(w.node, monkeypatch)
             caller = await w.caller()
             caller.writer.write(request("book"))
             await asyncio.wait_for(late.begun.wait(), PATIENCE_S)
@@ -160,7 +168,7 @@
             await until(lambda: not w.node._requests)
             late.release.set()
             await until(lambda: not w.node._servers._opening)
-            assert outcomes in ([Outcome.MOOT], [Outcome.CANCELLED])
+            assert _outcomes(events) in ([Outcome.MOOT], [Outcome.CANCELLED])
             assert (await (await w.caller()).ask("look", name="next")).status == 200
             assert [got.headers["x-request-id"] for got in server.received] == ["next"]
             assert not w.node._calls and not w.node._held
@@ -210,7 +218,7 @@
             caller.writer.write(request("look", name="twice"))
             await until(lambda: one.received or two.received)
             late = _late(w.node, monkeypatch)
-            outcomes = _outcomes(w.node, monkeypatch)
+            events = _events(w.node, monkeypatch)
             (number,) = w.node._requests
             other = b"b" if one.received else b"a"
             _second_copy(w.node, number, other)
@@ -220,8 +228,8 @@
             assert (await caller.answer()).body == b"first"
             late.release.set()
             await until(lambda: not w.node._servers._opening)
-            assert outcomes[0] is Outcome.OK, "the outcome that ended it comes first"
-            assert len(outcomes) == 2
+            assert _outcomes(events)[0] is Outcome.OK, "the outcome that ended it comes first"
+            assert len(_outcomes(events)) == 2
             assert len(one.received) + len(two.received) == 1
             assert not w.node._calls and not w.node._held
 
@@ -571,11 +579,11 @@
         server = await asyncio.start_server(break_at_head, HOST, 0, limit=1024)
         address = f"{HOST}:{server.sockets[0].getsockname()[1]}"
         async with world(row("a", address), row("b", address.replace("127.0.0.1", "127.0.0.2"))) as w:
-            outcomes = _outcomes(w.node, monkeypatch)
+            events = _events(w.node, monkeypatch)
             caller = await w.caller()
             answer = await caller.ask("book", body=b"x" * 60_000)
             assert answer.status == 502
-            assert outcomes.count(Outcome.RESET) == 1 and opened == 1
+            assert _outcomes(events).count(Outcome.RESET) == 1 and opened == 1
         server.close()
 
     run(main())
@@ -601,20 +609,6 @@
 # ---------------------------------------------------------------- a busy loop
 
 
-def _budgets(node: Node, monkeypatch: pytest.MonkeyPatch) -> list[float]:
-    """The time that the module is given for each request, as they come."""
-    budgets: list[float] = []
-    handle = node._balancer.handle
-
-    def recording(event: Event, now: float) -> list[Action]:
-        if isinstance(event, Arrival):
-            budgets.append(event.budget_ms)
-        return handle(event, now)
-
-    monkeypatch.setattr(node._balancer, "handle", recording)
-    return budgets
-
-
 class _StandingClock:
     """The time that the node reads: it moves only when told to, so that no test hangs on the machine."""
 
@@ -640,7 +634,7 @@
         async with StubServer([reply("200 OK", b"x")]) as server, world(row("a", server.address)) as w:
             callers = [] if new else [_blocking(w.address) for _ in range(2)]
             await until(lambda: len([c for c in w.node._callers._open if c.answered]) == len(callers))
-            budgets = _budgets(w.node, monkeypatch)
+            events = _events(w.node, monkeypatch)
             clock = _StandingClock(monkeypatch)
             await _idle_turns(clock)
             w.node._turns.note()  # here it begins to be busy
@@ -649,8 +643,8 @@
                     callers.append(socket.create_connection(w.address, timeout=PATIENCE_S))
                 callers[i].sendall(request("look", deadline=deadline))
             clock.now += 0.8
-            await until(lambda: len(budgets) == 2)
-            assert sorted(budgets) == [1.0, pytest.approx(200.0 - node_module.RESERVE_MS, abs=1e-3)]
+            await until(lambda: len(_budgets(events)) == 2)
+            assert sorted(_budgets(events)) == [1.0, pytest.approx(200.0 - node_module.RESERVE_MS, abs=1e-3)]
             monkeypatch.undo()
             for caller in callers:
                 caller.close()
@@ -663,13 +657,13 @@
         async with StubServer([reply("200 OK", b"x")]) as server, world(row("a", server.address)) as w:
             with _blocking(w.address) as caller:
                 await until(lambda: any(c.answered for c in w.node._callers._open))
-                budgets = _budgets(w.node, monkeypatch)
+                events = _events(w.node, monkeypatch)
                 clock = _StandingClock(monkeypatch)
                 w.node._turns.note()
                 await _idle_turns(clock)
                 caller.sendall(request("look", deadline="1.0"))
-                await until(lambda: budgets)
-                assert budgets == [pytest.approx(1000.0 - node_module.RESERVE_MS, abs=1e-3)]
+                await until(lambda: _budgets(events))
+                assert _budgets(events) == [pytest.approx(1000.0 - node_module.RESERVE_MS, abs=1e-3)]
                 monkeypatch.undo()
 
     run(main())
