Rename the package to load_balancer, with modules named for what they hold

Cause: the package and its modules had names that told nothing of their content. Only paths, imports and commands change.

--- a/fawngw/__main__.py
+++ b/load_balancer/__main__.py
@@ -1,4 +1,4 @@
-"""python -m fawngw: one real node; its environment says where it listens and whom it serves."""
+"""python -m load_balancer: one real node; its environment says where it listens and whom it serves."""
 
 from __future__ import annotations
 
@@ -11,8 +11,8 @@
 
 import uvloop
 
-from fawngw.node.config import Config, ConfigError, load
-from fawngw.node.node import Node
+from load_balancer.proxy.configuration import Config, ConfigError, load
+from load_balancer.proxy.server import Node
 
 _ENDING = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
 
@@ -65,10 +65,10 @@
         for number in _ENDING:
             signal.signal(number, signal.SIG_IGN)
     except ConfigError as error:
-        print(f"fawngw: {error}", file=sys.stderr)
+        print(f"load_balancer: {error}", file=sys.stderr)
         return 2
     except OSError as error:
-        print(f"fawngw: NODE_LISTEN cannot be used: {error}", file=sys.stderr)
+        print(f"load_balancer: NODE_LISTEN cannot be used: {error}", file=sys.stderr)
         return 2
     return 0
 
--- /dev/null
+++ b/load_balancer/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Every decision of the load balancer, without I/O."""
--- a/fawngw/decide.py
+++ b/load_balancer/policy/balancer.py
@@ -1,4 +1,4 @@
-"""Every decision of fawngw.  The types, events and actions are in fawngw/interface.py.
+"""Every decision of load_balancer.  The types, events and actions are in load_balancer/interface.py.
 
 The ordinary path is a two-time-scale learning automaton (Automaton below).  What surrounds it only says
 which servers may be drawn at all, when, and what follows from an outcome; docs/design.md lists those
@@ -16,7 +16,7 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
-from fawngw.interface import (
+from load_balancer.interface import (
     NEVER_RAN,
     Action,
     AnswerStarted,
--- a/fawngw/node/config.py
+++ b/load_balancer/proxy/configuration.py
@@ -8,9 +8,9 @@
 from dataclasses import dataclass
 from typing import Any
 
-from fawngw.interface import ImpossibleSettings, Settings
-from fawngw.node.discovery import ListError, Listing, Naming, parse_address
-from fawngw.settings import SettingsError, read_settings
+from load_balancer.interface import ImpossibleSettings, Settings
+from load_balancer.proxy.discovery import ListError, Listing, Naming, parse_address
+from load_balancer.settings_format import SettingsError, read_settings
 
 _DEFAULT_CONN_IDLE_MS = 15_000.0
 # With fewer no request can be served.  A tight limit is the platform's to set, and no reason not to start:
--- a/fawngw/node/discovery.py
+++ b/load_balancer/proxy/discovery.py
@@ -14,9 +14,9 @@
 
 import httptools
 
-from fawngw.interface import ListKind, Readiness, ServerEntry, ServerId, ServerList
-from fawngw.node.objects import GarbledError, Objects
-from fawngw.node.polling import polls
+from load_balancer.interface import ListKind, Readiness, ServerEntry, ServerId, ServerList
+from load_balancer.proxy.json_stream import GarbledError, Objects
+from load_balancer.proxy.socket_poll import polls
 
 log = logging.getLogger(__name__)
 
--- a/fawngw/node/callers.py
+++ b/load_balancer/proxy/downstream.py
@@ -14,8 +14,8 @@
 from itertools import islice
 from typing import cast
 
-from fawngw.interface import Effect, Settings
-from fawngw.node.http import (
+from load_balancer.interface import Effect, Settings
+from load_balancer.proxy.http1 import (
     CLASS,
     COST_HINT,
     DEADLINE,
@@ -29,8 +29,8 @@
     Reader,
     answer,
 )
-from fawngw.node.polling import polls
-from fawngw.node.turns import Turns
+from load_balancer.proxy.loop_iterations import Turns
+from load_balancer.proxy.socket_poll import polls
 
 log = logging.getLogger(__name__)
 
--- a/fawngw/node/node.py
+++ b/load_balancer/proxy/server.py
@@ -13,8 +13,7 @@
 from collections import deque
 from dataclasses import dataclass
 
-from fawngw.decide import Balancer
-from fawngw.interface import (
+from load_balancer.interface import (
     Action,
     Arrival,
     AttemptEnded,
@@ -39,12 +38,13 @@
     Subscribe,
     TimerFired,
 )
-from fawngw.node.callers import OVERFLOW_PART, Ask, Callers, Exchange
-from fawngw.node.config import Config, ConfigError, discovery_anew
-from fawngw.node.discovery import Discovery, Listing
-from fawngw.node.http import CONTENT_TYPE, REQUEST_ID, Message, MessageError, request_head
-from fawngw.node.servers import Call, Servers
-from fawngw.node.turns import Turns
+from load_balancer.policy.balancer import Balancer
+from load_balancer.proxy.configuration import Config, ConfigError, discovery_anew
+from load_balancer.proxy.discovery import Discovery, Listing
+from load_balancer.proxy.downstream import OVERFLOW_PART, Ask, Callers, Exchange
+from load_balancer.proxy.http1 import CONTENT_TYPE, REQUEST_ID, Message, MessageError, request_head
+from load_balancer.proxy.loop_iterations import Turns
+from load_balancer.proxy.upstream import Call, Servers
 
 log = logging.getLogger(__name__)
 
--- a/fawngw/node/servers.py
+++ b/load_balancer/proxy/upstream.py
@@ -13,10 +13,10 @@
 from dataclasses import dataclass, field
 from typing import cast
 
-from fawngw.interface import Outcome, Readiness, ServerId
-from fawngw.node.discovery import Listing
-from fawngw.node.http import NOT_RUN, Message, MessageError, Reader
-from fawngw.node.polling import polls
+from load_balancer.interface import Outcome, Readiness, ServerId
+from load_balancer.proxy.discovery import Listing
+from load_balancer.proxy.http1 import NOT_RUN, Message, MessageError, Reader
+from load_balancer.proxy.socket_poll import polls
 
 log = logging.getLogger(__name__)
 
--- a/fawngw/settings.py
+++ b/load_balancer/settings_format.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Mapping
 
-from fawngw.interface import Effect, RepeatGroup, RequestClass, Settings, Tenant
+from load_balancer.interface import Effect, RepeatGroup, RequestClass, Settings, Tenant
 
 
 class SettingsError(Exception):
--- /dev/null
+++ b/load_balancer/simulator/__init__.py
@@ -0,0 +1,1 @@
+"""The host of the policy on the simulator's wire."""
--- a/fawngw/drill.py
+++ b/load_balancer/simulator/adapter.py
@@ -1,12 +1,21 @@
-"""python -m fawngw.drill: hosts many independent instances of the module on the simulator's wire."""
+"""Hosts many independent instances of the policy on the simulator's wire."""
 
 from __future__ import annotations
 
 import sys
 from typing import BinaryIO
 
-from fawngw.decide import Balancer
-from fawngw.wire import BATCH_HEADER, Decoder, Start, Stop, WireError, encode, encode_fault, reply
+from load_balancer.policy.balancer import Balancer
+from load_balancer.simulator.codec import (
+    BATCH_HEADER,
+    Decoder,
+    Start,
+    Stop,
+    WireError,
+    encode,
+    encode_fault,
+    reply,
+)
 
 
 class Host:
@@ -71,7 +80,7 @@
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
     except WireError as error:
-        print(f"fawngw.drill: {error}", file=sys.stderr)
+        print(f"load_balancer.simulator.adapter: {error}", file=sys.stderr)
         return 2
     except BrokenPipeError:
         return 1
--- a/fawngw/wire.py
+++ b/load_balancer/simulator/codec.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from fawngw.interface import (
+from load_balancer.interface import (
     Action,
     AnswerStarted,
     Arrival,
@@ -35,7 +35,7 @@
     Subscribe,
     TimerFired,
 )
-from fawngw.settings import SettingsError, read_settings
+from load_balancer.settings_format import SettingsError, read_settings
 
 BATCH_HEADER = struct.Struct("<IdI")
 REPLY_HEADER = struct.Struct("<II")
--- a/tests/checker.py
+++ b/tests/checker.py
@@ -10,8 +10,8 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-from fawngw import Balancer
-from fawngw.interface import (
+from load_balancer import Balancer
+from load_balancer.interface import (
     Action,
     Arrival,
     AttemptEnded,
--- a/tests/stubs.py
+++ b/tests/stubs.py
@@ -12,10 +12,10 @@
 
 import uvloop
 
-from fawngw.node.config import Config, Limits, flat
-from fawngw.node.discovery import Naming
-from fawngw.node.node import Node
-from fawngw.settings import read_settings
+from load_balancer.proxy.configuration import Config, Limits, flat
+from load_balancer.proxy.discovery import Naming
+from load_balancer.proxy.server import Node
+from load_balancer.settings_format import read_settings
 
 T = TypeVar("T")
 
--- a/tests/test_automaton.py
+++ b/tests/test_automaton.py
@@ -8,7 +8,14 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from fawngw.decide import ALPHA, CHARGE_CAP, FLOOR_SHARE, NEWCOMER_SHARE, THETA_SHARE, Automaton
+from load_balancer.policy.balancer import (
+    ALPHA,
+    CHARGE_CAP,
+    FLOOR_SHARE,
+    NEWCOMER_SHARE,
+    THETA_SHARE,
+    Automaton,
+)
 
 NAMES = [bytes([i]) for i in range(40)]
 
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from fawngw.interface import ListKind, Outcome, Readiness, RequestClass, ServerEntry, Settings
+from load_balancer.interface import ListKind, Outcome, Readiness, RequestClass, ServerEntry, Settings
 from tests.checker import Surrounding
 
 COLD_MS = 20_000.0
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -11,8 +11,7 @@
 
 import pytest
 
-from fawngw.decide import Balancer
-from fawngw.interface import (
+from load_balancer.interface import (
     Action,
     Arrival,
     AttemptEnded,
@@ -29,6 +28,7 @@
     Settings,
     TimerFired,
 )
+from load_balancer.policy.balancer import Balancer
 
 BEARS = 20.0  # units a second that a warm server bears
 REPLACED_AT = 8_000.0
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -9,10 +9,10 @@
 
 import pytest
 
-from fawngw.interface import Effect, ListKind, Readiness
-from fawngw.node.config import ConfigError, load
-from fawngw.node.discovery import ListError, Naming
-from fawngw.node.node import Clock
+from load_balancer.interface import Effect, ListKind, Readiness
+from load_balancer.proxy.configuration import ConfigError, load
+from load_balancer.proxy.discovery import ListError, Naming
+from load_balancer.proxy.server import Clock
 from tests.stubs import listing, row, settings
 
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -6,9 +6,8 @@
 
 import pytest
 
-from fawngw import Balancer
-from fawngw.decide import BUDGET_PLUS, BUDGET_TIMES
-from fawngw.interface import (
+from load_balancer import Balancer
+from load_balancer.interface import (
     Arrival,
     AttemptEnded,
     Cancel,
@@ -28,6 +27,7 @@
     Subscribe,
     Tenant,
 )
+from load_balancer.policy.balancer import BUDGET_PLUS, BUDGET_TIMES
 from tests.checker import Owed, Surrounding
 
 SAFE = RequestClass("r", 1000, 3000)
--- a/tests/test_home.py
+++ b/tests/test_home.py
@@ -4,8 +4,8 @@
 
 from collections import Counter
 
-from fawngw import Balancer
-from fawngw.interface import ListKind, Readiness, RequestClass, ServerEntry, ServerList, Settings
+from load_balancer import Balancer
+from load_balancer.interface import ListKind, Readiness, RequestClass, ServerEntry, ServerList, Settings
 
 KIND = RequestClass("r", 1000, 3000)
 
--- a/tests/test_list_calls.py
+++ b/tests/test_list_calls.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from fawngw.interface import ListKind, RequestClass, ServerEntry, ServerList, Settings
+from load_balancer.interface import ListKind, RequestClass, ServerEntry, ServerList, Settings
 from tests.checker import Surrounding
 
 ASKING = Settings(
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -11,8 +11,17 @@
 
 import pytest
 
-from fawngw.interface import Action, Arrival, AttemptEnded, Event, ListKind, Outcome, RequestGone, ServerList
-from fawngw.node.callers import MOST_PIPELINED
+from load_balancer.interface import (
+    Action,
+    Arrival,
+    AttemptEnded,
+    Event,
+    ListKind,
+    Outcome,
+    RequestGone,
+    ServerList,
+)
+from load_balancer.proxy.downstream import MOST_PIPELINED
 from tests.stubs import (
     HOST,
     PATIENCE_S,
@@ -37,7 +46,7 @@
 
 
 def test_a_served_request_passes_through_unchanged(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("fawngw.node.servers.REST_S", 0.0)
+    monkeypatch.setattr("load_balancer.proxy.upstream.REST_S", 0.0)
 
     async def main() -> None:
         async with StubServer([reply("200 OK", BODY)]) as server, world(row("a", server.address)) as w:
@@ -101,7 +110,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against the silent resend on a fresh connection that HTTP clients do."""
-    monkeypatch.setattr("fawngw.node.servers.REST_S", 0.0)
+    monkeypatch.setattr("load_balancer.proxy.upstream.REST_S", 0.0)
 
     async def main() -> None:
         async with StubServer([reply("200 OK"), reset]) as server, world(row("a", server.address)) as w:
@@ -119,7 +128,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """A vanished machine leaves its connections open and silent; only a new one tells that it is gone."""
-    monkeypatch.setattr("fawngw.node.servers.REST_S", 0.0)
+    monkeypatch.setattr("load_balancer.proxy.upstream.REST_S", 0.0)
 
     async def main() -> None:
         async with (
@@ -528,7 +537,7 @@
 
 
 def test_a_slow_reader_gets_its_last_answer_whole(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("fawngw.node.callers.LINGER_S", 0.01)
+    monkeypatch.setattr("load_balancer.proxy.downstream.LINGER_S", 0.01)
 
     async def main() -> None:
         body = b"x" * 60_000
@@ -583,8 +592,8 @@
 def test_a_request_that_does_not_come_is_not_waited_for(
     begun: bytes, status: int | None, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr("fawngw.node.callers.FIRST_S", 0.05)
-    monkeypatch.setattr("fawngw.node.callers.IDLE_ONCE_S", 0.05)
+    monkeypatch.setattr("load_balancer.proxy.downstream.FIRST_S", 0.05)
+    monkeypatch.setattr("load_balancer.proxy.downstream.IDLE_ONCE_S", 0.05)
 
     async def main() -> None:
         async with StubServer([silent]) as server, world(row("a", server.address)) as w:
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -18,11 +18,11 @@
 
 import pytest
 
-from fawngw.interface import Action, Arrival, AttemptEnded, Event, Outcome, TimerFired
-from fawngw.node import callers as callers_module
-from fawngw.node import node as node_module
-from fawngw.node.callers import PACE_PIPELINED, CallerConnection
-from fawngw.node.node import Node
+from load_balancer.interface import Action, Arrival, AttemptEnded, Event, Outcome, TimerFired
+from load_balancer.proxy import downstream as callers_module
+from load_balancer.proxy import server as node_module
+from load_balancer.proxy.downstream import PACE_PIPELINED, CallerConnection
+from load_balancer.proxy.server import Node
 from tests.stubs import (
     HOST,
     PATIENCE_S,
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from fawngw import Balancer
-from fawngw.interface import (
+from load_balancer import Balancer
+from load_balancer.interface import (
     Arrival,
     AttemptEnded,
     Effect,
--- a/tests/test_run.py
+++ b/tests/test_run.py
@@ -15,8 +15,8 @@
 
 import pytest
 
-from fawngw.__main__ import _RateLimit
-from fawngw.node import node as node_module
+from load_balancer.__main__ import _RateLimit
+from load_balancer.proxy import server as node_module
 from tests.stubs import (
     HOST,
     PATIENCE_S,
@@ -236,7 +236,7 @@
         process = await _start({"NODE_NAME": "n0", "NODE_CONFIG": str(config)})
         _, error = await asyncio.wait_for(process.communicate(), PATIENCE_S)
         assert process.returncode == 2
-        assert error.decode() == "fawngw: settings is missing or not of type dict: None\n"
+        assert error.decode() == "load_balancer: settings is missing or not of type dict: None\n"
 
     run(main())
 
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -11,10 +11,10 @@
 
 import pytest
 
-from fawngw.interface import Outcome
-from fawngw.node.discovery import Naming
-from fawngw.node.http import Message
-from fawngw.node.servers import Call, Servers
+from load_balancer.interface import Outcome
+from load_balancer.proxy.discovery import Naming
+from load_balancer.proxy.http1 import Message
+from load_balancer.proxy.upstream import Call, Servers
 from tests.stubs import HOST, PATIENCE_S, Behaviour, StubServer, listing, raw, reply, reset, row, run, silent
 
 REQUEST = b"GET /api/x HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -205,7 +205,7 @@
 
 def test_a_connection_with_something_unread_is_not_used_again(monkeypatch: pytest.MonkeyPatch) -> None:
     """What came in after the answer and was not read yet would be taken for the next answer."""
-    monkeypatch.setattr("fawngw.node.servers.REST_S", 0.0)
+    monkeypatch.setattr("load_balancer.proxy.upstream.REST_S", 0.0)
 
     async def main() -> None:
         behaviours = [reply("200 OK", b"1"), reply("200 OK", b"2")]
@@ -236,7 +236,7 @@
 
 def test_a_new_server_at_an_old_address_takes_it_over(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against calls meant for the old server that would meet the new and cold one."""
-    monkeypatch.setattr("fawngw.node.servers.REST_S", 0.0)
+    monkeypatch.setattr("load_balancer.proxy.upstream.REST_S", 0.0)
 
     async def main() -> None:
         async with StubServer([reply("200 OK")]) as server, attempts(server.address) as a:
@@ -315,8 +315,8 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """A request that crosses the server's close may have run: a booking is lost with it."""
-    monkeypatch.setattr("fawngw.node.servers.REST_S", 0.0)
-    monkeypatch.setattr("fawngw.node.servers.TRUST_LEAST_S", 0.0)
+    monkeypatch.setattr("load_balancer.proxy.upstream.REST_S", 0.0)
+    monkeypatch.setattr("load_balancer.proxy.upstream.TRUST_LEAST_S", 0.0)
 
     async def main() -> None:
         async with StubServer([reply("200 OK")]) as server, attempts(server.address) as a:
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -10,11 +10,11 @@
 
 import pytest
 
-from fawngw.decide import ASK_MOST_MS
-from fawngw.node import discovery
-from fawngw.node.discovery import ListError, Naming
-from fawngw.node.node import Node
-from fawngw.node.objects import MAX_OBJECT, GarbledError, Objects
+from load_balancer.policy.balancer import ASK_MOST_MS
+from load_balancer.proxy import discovery
+from load_balancer.proxy.discovery import ListError, Naming
+from load_balancer.proxy.json_stream import MAX_OBJECT, GarbledError, Objects
+from load_balancer.proxy.server import Node
 from tests.stubs import (
     HOST,
     PATIENCE_S,
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -9,8 +9,7 @@
 
 import pytest
 
-from fawngw.drill import serve
-from fawngw.interface import (
+from load_balancer.interface import (
     Action,
     AnswerStarted,
     Arrival,
@@ -35,7 +34,8 @@
     Subscribe,
     TimerFired,
 )
-from fawngw.wire import (
+from load_balancer.simulator.adapter import serve
+from load_balancer.simulator.codec import (
     Decoder,
     Record,
     Start,
@@ -279,8 +279,11 @@
     assert any(code == 65 for code, _ in records)
 
 
+ADAPTER = [sys.executable, "-m", "load_balancer.simulator.adapter"]
+
+
 def run_drill(raw: bytes) -> subprocess.CompletedProcess[bytes]:
-    return subprocess.run([sys.executable, "-m", "fawngw.drill"], input=raw, capture_output=True, check=False)
+    return subprocess.run(ADAPTER, input=raw, capture_output=True, check=False)
 
 
 def test_the_command_ends_quietly_at_the_end_of_input() -> None:
@@ -307,7 +310,7 @@
     done = run_drill(raw)
     text = done.stderr.decode()
     assert done.returncode == 2
-    assert text.startswith("fawngw.drill: ") and text.count("\n") == 1 and "Traceback" not in text
+    assert text.startswith(f"{ADAPTER[-1]}: ") and text.count("\n") == 1 and "Traceback" not in text
 
 
 def test_start_carries_seed_and_settings() -> None:
