--- a/load_balancer/policy/balancer.py
+++ b/load_balancer/policy/balancer.py
@@ -16,38 +16,37 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
-from load_balancer.interface import (
-    NEVER_RAN,
+from load_balancer.actions import (
     Action,
-    AnswerStarted,
-    Arrival,
+    CancelAttempt,
+    CheckHealth,
+    CloseIdleConnections,
+    FailRequest,
+    LogEvent,
+    PollEndpointList,
+    RejectRequest,
+    SendAttempt,
+    SetTimer,
+)
+from load_balancer.events import (
+    NOT_EXECUTED,
     AttemptEnded,
-    Cancel,
-    CloseIdle,
-    Effect,
+    Endpoint,
+    EndpointId,
+    EndpointListKind,
+    EndpointListUpdate,
+    EndpointState,
     Event,
-    Fail,
-    ListKind,
-    Log,
+    HealthCheckEnded,
     Outcome,
-    Probe,
-    ProbeEnded,
-    Readiness,
-    Refuse,
-    RepeatGroup,
-    RequestClass,
-    RequestGone,
+    RequestAbandoned,
+    RequestArrived,
     RequestId,
-    Send,
-    ServerEntry,
-    ServerId,
-    ServerList,
-    SetTimer,
-    Settings,
-    Subscribe,
+    ResponseStarted,
     TimerFired,
-    UnexpectedEvent,
+    UnexpectedEventError,
 )
+from load_balancer.settings import DeduplicationScope, Idempotency, RequestClass, Settings
 
 # The automaton.  A copy sees few calls over many servers, so both steps are far above the paper's.
 ALPHA = 0.15  # an average spans about seven of its server's calls
@@ -149,7 +148,7 @@
     __slots__ = ("_index", "_kinds", "_nodes", "alpha", "average", "p", "servers", "theta", "theta_kind")
 
     def __init__(self, nodes: int = 1) -> None:
-        self.servers: list[ServerId] = []
+        self.servers: list[EndpointId] = []
         self.p: list[float] = []
         self.average: list[float | None] = []  # None: not called yet, counts as the mean of the others
         self.alpha = min(max(ALPHA, ALPHA_NODES * nodes), ALPHA_MOST)
@@ -157,7 +156,7 @@
         self.theta_kind = 0.0  # 0 where all are listed as of one kind
         self._nodes = nodes
         self._kinds: list[int] = []
-        self._index: dict[ServerId, int] = {}
+        self._index: dict[EndpointId, int] = {}
 
     def mean(self) -> float | None:
         """The payoff threshold: the mean of all averages, None before any answer."""
@@ -174,7 +173,7 @@
                 return i
         return eligible[-1]
 
-    def learn(self, server: ServerId, latency: float) -> bool:
+    def learn(self, server: EndpointId, latency: float) -> bool:
         """An answered call: move its server's average, and the vector if the call paid off."""
         i = self._index.get(server)
         if i is None:
@@ -206,7 +205,7 @@
             x * grow if k == kind else x + theta * (p_min - x) for x, k in zip(self.p, kinds, strict=True)
         ]
 
-    def charge(self, server: ServerId, latency: float) -> None:
+    def charge(self, server: EndpointId, latency: float) -> None:
         """A failed call: a miss.  A fast error must not look quick, nor a silence lift the threshold."""
         i = self._index.get(server)
         mean = self.mean()
@@ -224,7 +223,9 @@
         self.average[i] = start + self.alpha * (latency - start)
         return self.mean() or latency
 
-    def resize(self, weights: Mapping[ServerId, float], kinds: Mapping[ServerId, int] | None = None) -> None:
+    def resize(
+        self, weights: Mapping[EndpointId, float], kinds: Mapping[EndpointId, int] | None = None
+    ) -> None:
         """Take in a new set of servers: the others keep their ratios, a newcomer gets a modest share."""
         stay = [s for s in self.servers if s in weights]
         ratios: list[float] = [self.p[self._index[s]] for s in stay]
@@ -326,14 +327,14 @@
 class Attempt:
     """One send: where, when, and how it ended (None while out)."""
 
-    entry: ServerEntry
+    entry: Endpoint
     sent: float
     units: float = 1.0
     class_index: int = 0
     ended: Outcome | None = None
 
     def may_have_run(self) -> bool:
-        return self.ended is None or self.ended not in NEVER_RAN
+        return self.ended is None or self.ended not in NOT_EXECUTED
 
 
 @dataclass(slots=True)
@@ -356,7 +357,7 @@
 class Server:
     """What this node knows of a server."""
 
-    entry: ServerEntry
+    entry: Endpoint
     classes: list[ClassHealth]
     listed: bool = True
     out: dict[tuple[RequestId, int], float] = field(default_factory=dict)  # oldest first
@@ -392,7 +393,7 @@
     started: bool = False
 
     def repeatable(self) -> bool:
-        return self.kind.effect is not Effect.UNSAFE
+        return self.kind.idempotency is not Idempotency.NON_IDEMPOTENT
 
 
 # Kinds of internal timers.
@@ -404,31 +405,31 @@
 
     def __init__(self, settings: Settings, seed: int) -> None:
         self.settings = settings
-        self.automaton = Automaton(settings.balancers)
+        self.automaton = Automaton(settings.node_count)
         self._rng = random.Random(seed)
-        self._servers: dict[ServerId, Server] = {}
+        self._servers: dict[EndpointId, Server] = {}
         self._home: list[bool] = []  # in the same order: whether the node keeps to this server
         self._arms: list[Server] = []  # in the automaton's order
         self._requests: dict[RequestId, Request] = {}
         self._attempts: dict[tuple[RequestId, int], tuple[Server, Attempt]] = {}
         self._queue: list[tuple[float, int, Request]] = []  # by worth, then age
-        self._timers: list[tuple[float, int, int, RequestId | ServerId | None]] = []
+        self._timers: list[tuple[float, int, int, RequestId | EndpointId | None]] = []
         self._wake = math.inf
         self._seq = 0
         self._actions: list[Action] = []
         self._now = 0.0
-        self._aim = min(c.aim_ms for c in settings.classes)
-        self._recovery = max(settings.cold_ms or 10_000.0, EJECT_AIMS * self._aim)
+        self._aim = min(c.latency_objective_ms for c in settings.classes)
+        self._recovery = max(settings.warm_up_ms or 10_000.0, EJECT_AIMS * self._aim)
         # What all nodes of the front admit is split over them; further in each node stands for itself.
-        self._sharers = 1 if settings.stage else settings.balancers
+        self._sharers = 1 if settings.tier_index else settings.node_count
         self._most_waiting = max(1.0, WAITING_MOST / self._sharers)
-        self._can_repeat = any(c.effect is not Effect.UNSAFE for c in settings.classes)
+        self._can_repeat = any(c.idempotency is not Idempotency.NON_IDEMPOTENT for c in settings.classes)
         self._patience = Patience()
         self._class_patience = [Patience() for _ in settings.classes]
         self._cost = 0.0  # mean cost hint
         self._first_sent: float | None = None
         # Units answered: what is sent is more than servers bear when fewer of them are left.
-        self._borne = Rate(settings.cold_ms or 1000.0, settings.fall_window_ms)
+        self._borne = Rate(settings.warm_up_ms or 1000.0, settings.overload_window_ms)
         self._limit = 0.0  # set by the first list
         self._strained = False
         self._strain = 0.0
@@ -449,7 +450,7 @@
         self._peak_at = 0.0
         self._retry_tokens = RETRY_MOST / 2
         self._quota: list[tuple[float, float]] = [
-            (t.quota_per_s / settings.balancers, 0.0) for t in settings.tenants
+            (t.quota_per_s / settings.node_count, 0.0) for t in settings.tenants
         ]
         self._shedding = False
         self._subscribed = False
@@ -465,17 +466,17 @@
         self._now = now
         if isinstance(event, AttemptEnded):
             self._on_ended(event)
-        elif isinstance(event, Arrival):
+        elif isinstance(event, RequestArrived):
             self._on_arrival(event)
         elif isinstance(event, TimerFired):
             self._on_timer()
-        elif isinstance(event, ServerList):
+        elif isinstance(event, EndpointListUpdate):
             self._on_list(event)
-        elif isinstance(event, RequestGone):
+        elif isinstance(event, RequestAbandoned):
             self._on_gone(event)
-        elif isinstance(event, ProbeEnded):
+        elif isinstance(event, HealthCheckEnded):
             self._on_probe(event)
-        elif isinstance(event, AnswerStarted):
+        elif isinstance(event, ResponseStarted):
             self._on_started(event)
         self._drain()
         if self._timers and self._timers[0][0] < self._wake:
@@ -484,7 +485,7 @@
             self._actions.append(SetTimer(self._seq, self._wake))
         return self._actions
 
-    def _at(self, when: float, kind: int, subject: RequestId | ServerId | None = None) -> None:
+    def _at(self, when: float, kind: int, subject: RequestId | EndpointId | None = None) -> None:
         self._seq += 1
         heapq.heappush(self._timers, (when, self._seq, kind, subject))
 
@@ -512,50 +513,52 @@
 
     # ------------------------------------------------------------ the server list
 
-    def _on_list(self, event: ServerList) -> None:
-        if event.kind is ListKind.FAILED:
+    def _on_list(self, event: EndpointListUpdate) -> None:
+        if event.kind is EndpointListKind.FAILED:
             # Discovery is down or refuses: keep the last list and ask again, later each time.
             self._subscribed = False
             self._asks_failed += 1
             if self._asks_failed == 1:
-                self._actions.append(Log("server list lost: a call failed or the subscription broke"))
+                self._actions.append(LogEvent("server list lost: a call failed or the subscription broke"))
             self._plan_ask(self._ask_pause())
             return
-        if event.kind is ListKind.CACHED:
-            if self.settings.ask_for_list:
+        if event.kind is EndpointListKind.CACHED:
+            if self.settings.poll_endpoint_list:
                 # All nodes may start at once: spread their first calls, well inside the time to ask.
-                self._plan_ask(self._rng.random() * min(0.3 * self.settings.must_ask_ms, ASK_MOST_MS))
+                self._plan_ask(self._rng.random() * min(0.3 * self.settings.poll_within_ms, ASK_MOST_MS))
         else:
             self._subscribed = True
             if self._asks_failed:
-                self._actions.append(Log(f"server list found again after {self._asks_failed} failed calls"))
+                self._actions.append(
+                    LogEvent(f"server list found again after {self._asks_failed} failed calls")
+                )
                 self._asks_failed = 0
-        if event.kind is not ListKind.CHANGES:
-            named = {entry.server for entry in event.entries}
+        if event.kind is not EndpointListKind.DELTA:
+            named = {entry.id for entry in event.endpoints}
             for name, server in self._servers.items():
                 if name not in named:
                     server.listed = False
-        for entry in event.entries:
+        for entry in event.endpoints:
             self._take_entry(entry)
         # What has gone and holds no call is forgotten: over a long day new ids come without end.
         self._servers = {name: s for name, s in self._servers.items() if s.listed or s.out}
         weights = {
-            name: max(s.entry.capacity_hint, 1e-3) if self.settings.capacity_hints else 1.0
+            name: max(s.entry.weight, 1e-3) if self.settings.use_endpoint_weights else 1.0
             for name, s in self._servers.items()
             if s.listed
         }
-        self.automaton.resize(weights, {name: self._servers[name].entry.kind for name in weights})
+        self.automaton.resize(weights, {name: self._servers[name].entry.machine_type for name in weights})
         self._arms = [self._servers[name] for name in self.automaton.servers]
         self._choose_home()
         if not self._strained:
             # All nodes of the tier start alike: each takes its part of what the fleet may hold.
             self._limit = max(self._limit, self._start_limit())
 
-    def _take_entry(self, entry: ServerEntry) -> None:
-        server = self._servers.get(entry.server)
-        ready = entry.readiness is Readiness.READY
+    def _take_entry(self, entry: Endpoint) -> None:
+        server = self._servers.get(entry.id)
+        ready = entry.state is EndpointState.SERVING
         if server is None:
-            server = self._servers[entry.server] = Server(
+            server = self._servers[entry.id] = Server(
                 entry, [ClassHealth() for _ in self.settings.classes], ready
             )
             server.tokens, server.tokens_at = self._rng.random(), self._now
@@ -581,33 +584,33 @@
         self._ask_at = math.inf
         if self._subscribed:
             return
-        self._actions.append(Subscribe())
-        self._plan_ask(min(0.5 * self.settings.must_ask_ms, 2 * ASK_MOST_MS))  # in case no reply comes
+        self._actions.append(PollEndpointList())
+        self._plan_ask(min(0.5 * self.settings.poll_within_ms, 2 * ASK_MOST_MS))  # in case no reply comes
 
     def _ask_pause(self) -> float:
-        longest = min(0.5 * self.settings.must_ask_ms, ASK_MOST_MS)
-        pause = min(longest, 0.1 * self.settings.must_ask_ms * 2.0 ** min(self._asks_failed - 1, 10))
+        longest = min(0.5 * self.settings.poll_within_ms, ASK_MOST_MS)
+        pause = min(longest, 0.1 * self.settings.poll_within_ms * 2.0 ** min(self._asks_failed - 1, 10))
         return pause * (0.5 + 0.5 * self._rng.random())
 
     # ------------------------------------------------------------ requests
 
-    def _on_arrival(self, event: Arrival) -> None:
+    def _on_arrival(self, event: RequestArrived) -> None:
         settings, now = self.settings, self._now
         if not 0 <= event.class_index < len(settings.classes):
-            raise UnexpectedEvent(f"request {event.request} is of unknown class {event.class_index}")
-        if event.request in self._requests:
-            raise UnexpectedEvent(f"request {event.request} arrived twice")
+            raise UnexpectedEventError(f"request {event.request_id} is of unknown class {event.class_index}")
+        if event.request_id in self._requests:
+            raise UnexpectedEventError(f"request {event.request_id} arrived twice")
         kind = settings.classes[event.class_index]
         units = 1.0
         if event.cost_hint_ms is not None and event.cost_hint_ms > 0:
             self._cost += (event.cost_hint_ms - self._cost) * (0.02 if self._cost else 1.0)
             units = event.cost_hint_ms / self._cost
-        worth = kind.worth if settings.worth_by_work else kind.worth / units
+        worth = kind.priority_weight if settings.priority_by_work else kind.priority_weight / units
         if not self._within_share(event.tenant):
-            worth *= settings.over_share_worth
+            worth *= settings.over_quota_weight
         self._seq += 1
         request = Request(
-            event.request,
+            event.request_id,
             kind,
             event.class_index,
             now,
@@ -620,14 +623,14 @@
         self._requests[request.id] = request
         self._retry_tokens = min(RETRY_MOST, self._retry_tokens + RETRY_EARN)
         # At the front a request waits a part of its aim; further in, its work so far would be lost.
-        hold = HOLD * kind.aim_ms if settings.stage == 0 else 0.5 * event.budget_ms
+        hold = HOLD * kind.latency_objective_ms if settings.tier_index == 0 else 0.5 * event.budget_ms
         self._wait(request, min(hold, 0.5 * event.budget_ms))
 
     def _within_share(self, tenant: int) -> bool:
         """Token bucket of a second's quota for each tenant, at the tier that clients reach."""
-        if self.settings.stage or not 0 <= tenant < len(self._quota):
+        if self.settings.tier_index or not 0 <= tenant < len(self._quota):
             return True
-        per_s = self.settings.tenants[tenant].quota_per_s / self.settings.balancers
+        per_s = self.settings.tenants[tenant].quota_per_s / self.settings.node_count
         if per_s <= 0:
             return True
         tokens, at = self._quota[tenant]
@@ -704,7 +707,7 @@
         Also in what is in work: each tier adds to how far answers stray from the calmest.  With three tiers
         answers of 1.7 times the calmest, no strain, held the bound where it was for good.
         """
-        return max(1.0, (self.settings.stages - self.settings.stage) / 2)
+        return max(1.0, (self.settings.tier_count - self.settings.tier_index) / 2)
 
     def _place(self, request: Request, last_resort: bool) -> bool:
         pool = self._pool(request, last_resort)
@@ -719,7 +722,7 @@
         allowed: list[int] = []
         fit: list[int] = []
         unhealthy = 0
-        tried = {a.entry.server for a in request.attempts}
+        tried = {a.entry.id for a in request.attempts}
         p, averages = self.automaton.p, self.automaton.average
         mean = self.automaton.mean() or 0.0
         total = len(self._attempts)
@@ -759,7 +762,7 @@
         if last_resort or unhealthy > PANIC * len(self._arms):
             # Something that all servers share is wrong, or it is now or never: health is no guide.
             fit = allowed
-        fresh = [i for i in fit if self._arms[i].entry.server not in tried]
+        fresh = [i for i in fit if self._arms[i].entry.id not in tried]
         if fresh or (request.out and not last_resort):
             fit = fresh
         return self._near(fit)
@@ -769,7 +772,7 @@
         home = [i for i in fit if self._home[i]]
         if len(home) >= LOCAL_LEAST:
             return home
-        if not self.settings.cross_zone_price:
+        if not self.settings.cross_zone_cost:
             return fit
         own = [i for i in fit if self._arms[i].entry.zone == self.settings.zone]
         return own if len(own) >= LOCAL_LEAST else fit
@@ -783,24 +786,24 @@
         servers are met alike, and a change of the list moves few homes.
         """
         settings = self.settings
-        near = [s for s in self._arms if not settings.cross_zone_price or s.entry.zone == settings.zone]
+        near = [s for s in self._arms if not settings.cross_zone_cost or s.entry.zone == settings.zone]
         # A power of two: their number, which all homes hang on, must not follow every change of the list.
         homes = 1 << max(0, (len(near) // HOME).bit_length() - 1)
-        chosen = {s.entry.server for s in near}
-        if homes > 1 and settings.balancers * HOME >= HOME_COVER * len(self._arms):
-            turn, place = divmod(settings.ordinal, homes)
+        chosen = {s.entry.id for s in near}
+        if homes > 1 and settings.node_count * HOME >= HOME_COVER * len(self._arms):
+            turn, place = divmod(settings.node_index, homes)
             start = place / homes
-            rings: dict[int, list[tuple[float, ServerId]]] = {}
+            rings: dict[int, list[tuple[float, EndpointId]]] = {}
             for server in near:
-                name = server.entry.server
+                name = server.entry.id
                 digest = hashlib.blake2b(name + turn.to_bytes(4, "big"), digest_size=6).digest()
                 # From this node's place onwards, in parts of a whole turn.
                 ahead = (int.from_bytes(digest, "big") / 2**48 - start) % 1.0
-                rings.setdefault(server.entry.kind, []).append((ahead, name))
+                rings.setdefault(server.entry.machine_type, []).append((ahead, name))
             chosen = set()
             for ring in rings.values():
                 chosen.update(name for _, name in sorted(ring)[: math.ceil(len(ring) / homes)])
-        self._home = [s.entry.server in chosen for s in self._arms]
+        self._home = [s.entry.id in chosen for s in self._arms]
 
     def _silent(self, server: Server, late: float) -> bool:
         """Attempts overdue against what peers answer in count before they end."""
@@ -817,25 +820,28 @@
         if not risky:
             return True
         kind = request.kind
-        if request.out and not self.settings.may_duplicate:
+        if request.out and not self.settings.hedging_allowed:
             return False
-        if kind.effect is Effect.SAFE:
+        if kind.idempotency is Idempotency.IDEMPOTENT:
             return True
         # What is sent now may be written as late as a connection may come up: also then it is in the window.
         latest = self._now + self.settings.connect_timeout_ms + self.settings.tick_ms
-        if kind.effect is Effect.UNSAFE or latest >= risky[0].sent + kind.window_ms:
+        if (
+            kind.idempotency is Idempotency.NON_IDEMPOTENT
+            or latest >= risky[0].sent + kind.deduplication_window_ms
+        ):
             return False
         first = risky[0].entry
-        if kind.group is RepeatGroup.ZONE:
+        if kind.deduplication_scope is DeduplicationScope.ZONE:
             return server.entry.zone == first.zone
-        return kind.group is RepeatGroup.ALL or server.entry.cell == first.cell
+        return kind.deduplication_scope is DeduplicationScope.ALL or server.entry.cell == first.cell
 
     def _ramp(self, server: Server) -> float:
         """The part of its capacity that a server has at the least by now: 1 once it is warm."""
-        start, low = server.entry.started_ms, self.settings.cold_start_share
-        if start <= 0 or self._now - start >= self.settings.cold_ms:
+        start, low = server.entry.started_ms, self.settings.initial_capacity
+        if start <= 0 or self._now - start >= self.settings.warm_up_ms:
             return 1.0
-        return low + (1.0 - low) * max(self._now - start, 0.0) / self.settings.cold_ms
+        return low + (1.0 - low) * max(self._now - start, 0.0) / self.settings.warm_up_ms
 
     def _capacity(self) -> float:
         """What the servers that may be called can do by now at the least, in warm servers."""
@@ -851,8 +857,8 @@
         Every node does so alone; together they then send it its part of what warm servers bear, which
         leaves the rest of the multiple that the rule allows as a margin for chance and for heavy requests.
         """
-        rate = min(COLD_TIMES, 0.5 * self.settings.fall_multiple) * ramp * flow
-        most = max(1.0, rate * self.settings.fall_window_ms)
+        rate = min(COLD_TIMES, 0.5 * self.settings.overload_multiple) * ramp * flow
+        most = max(1.0, rate * self.settings.overload_window_ms)
         server.tokens = min(most, server.tokens + rate * (self._now - server.tokens_at))
         server.tokens_at = self._now
         return server.tokens >= min(units, most)
@@ -860,7 +866,7 @@
     # ------------------------------------------------------------ the one path that sends
 
     def _send(self, request: Request, server: Server) -> bool:
-        """Send an attempt.  Rules 1 to 3 are enforced here; _cold_allows has kept rule 4."""
+        """SendAttempt an attempt.  Rules 1 to 3 are enforced here; _cold_allows has kept rule 4."""
         now, settings = self._now, self.settings
         left = request.deadline - now
         if (
@@ -884,8 +890,8 @@
             self._first_sent = now
         self._watch(request)
         if self._doubts(request, server):
-            self._actions.append(CloseIdle(server.entry.server))
-        self._actions.append(Send(request.id, server.entry.server))
+            self._actions.append(CloseIdleConnections(server.entry.id))
+        self._actions.append(SendAttempt(request.id, server.entry.id))
         return True
 
     def _doubts(self, request: Request, server: Server) -> bool:
@@ -923,9 +929,9 @@
         waited there for its deadline.  What does not hold now may hold at the next look.
         """
         late = self._class_patience[request.class_index].late()
-        out = [self._servers[a.entry.server] for a in request.attempts if a.ended is None]
+        out = [self._servers[a.entry.id] for a in request.attempts if a.ended is None]
         if all(self._silent(s, late) for s in out) and self._retry_tokens >= 1.0 and self._pressure < 1.0:
-            if not self.settings.may_duplicate:
+            if not self.settings.hedging_allowed:
                 self._abandon(request, None)
                 return
             if self._place(request, False):
@@ -942,38 +948,42 @@
         self._leave_queue(request)
         risky = any(a.may_have_run() for a in request.attempts)
         kind = request.kind
-        harmless = kind.effect is Effect.SAFE or (
-            kind.effect is Effect.KEYED and kind.group is RepeatGroup.ALL
+        harmless = kind.idempotency is Idempotency.IDEMPOTENT or (
+            kind.idempotency is Idempotency.KEYED and kind.deduplication_scope is DeduplicationScope.ALL
         )
         if risky and not harmless:
-            self._actions.append(Fail(request.id))
+            self._actions.append(FailRequest(request.id))
         else:
             wait = (
-                min(0.2 * kind.aim_ms, self.settings.max_retry_after_ms) if self.settings.retry_after else 0.0
+                min(0.2 * kind.latency_objective_ms, self.settings.max_retry_after_ms)
+                if self.settings.retry_after_allowed
+                else 0.0
             )
-            self._actions.append(Refuse(request.id, wait))
+            self._actions.append(RejectRequest(request.id, wait))
         self._abandon(request, None)
 
     def _abandon(self, request: Request, keep: int | None) -> None:
         """Withdraw attempts that nobody waits for any more."""
-        if not self.settings.may_cancel or not request.out:
+        if not self.settings.cancel_allowed or not request.out:
             return
         for number, attempt in enumerate(request.attempts):
             if attempt.ended is None and number != keep:
-                self._actions.append(Cancel(request.id, number))
+                self._actions.append(CancelAttempt(request.id, number))
 
     # ------------------------------------------------------------ outcomes
 
     def _on_ended(self, event: AttemptEnded) -> None:
-        key = (event.request, event.attempt)
+        key = (event.request_id, event.attempt_number)
         found = self._attempts.pop(key, None)
         if found is None:
-            raise UnexpectedEvent(f"attempt {event.attempt} of request {event.request} was not out")
+            raise UnexpectedEventError(
+                f"attempt {event.attempt_number} of request {event.request_id} was not out"
+            )
         server, attempt = found
         attempt.ended = event.outcome
         del server.out[key]
         server.classes[attempt.class_index].out -= 1
-        request = self._requests.get(event.request)
+        request = self._requests.get(event.request_id)
         self._judge(server, attempt, event, request)
         if request is None:
             return
@@ -981,7 +991,7 @@
         if event.finished:
             del self._requests[request.id]
             self._leave_queue(request)
-            self._abandon(request, event.attempt)
+            self._abandon(request, event.attempt_number)
         elif not request.out and not request.waiting:
             self._again_or_finish(request, event.outcome)
 
@@ -989,9 +999,9 @@
         left = request.deadline - self._now
         risky = any(a.may_have_run() for a in request.attempts)
         mean = self._class_patience[request.class_index].mean
-        costs = risky or outcome is Outcome.FULL  # an attempt that no server saw costs nothing to repeat
+        costs = risky or outcome is Outcome.REJECTED  # an attempt that no server saw costs nothing to repeat
         if (
-            outcome is not Outcome.REJECTED
+            outcome is not Outcome.CLIENT_ERROR
             and len(request.attempts) < self.settings.max_attempts
             and left > max(mean, 2 * self.settings.tick_ms)
             and (not costs or self._retry_tokens >= 1.0)
@@ -999,13 +1009,13 @@
         ):
             if costs:
                 self._retry_tokens -= 1.0
-            self._wait(request, min(HOLD * request.kind.aim_ms, 0.5 * left))
+            self._wait(request, min(HOLD * request.kind.latency_objective_ms, 0.5 * left))
         else:
             self._finish(request)
 
     def _judge(self, server: Server, attempt: Attempt, event: AttemptEnded, request: Request | None) -> None:
         """What an outcome says of its server, its class and the load."""
-        outcome, elapsed, name = event.outcome, event.elapsed_ms, server.entry.server
+        outcome, elapsed, name = event.outcome, event.elapsed_ms, server.entry.id
         if elapsed > self._patience.late() and self._now - server.heard >= elapsed:
             # All that is known of it is this one late outcome: where calls are few, an average of
             # seven spans most of a minute, and what crowded or stopped the server is still there.
@@ -1019,7 +1029,7 @@
             aim = self._aim
             if request is not None:
                 self._class_patience[request.class_index].observe(elapsed)
-                aim = request.kind.aim_ms
+                aim = request.kind.latency_objective_ms
             # Heavy work says little of its server or the load: what the cost hint foretold is half taken out.
             usual = elapsed / (0.5 + 0.5 * attempt.units)
             self._borne.add(attempt.units, self._now)
@@ -1027,7 +1037,7 @@
             self._feel(elapsed / aim)
             self.automaton.learn(name, usual)
             self._succeeded(server, server.classes[attempt.class_index])
-        elif outcome is Outcome.FULL or (
+        elif outcome is Outcome.REJECTED or (
             outcome is Outcome.CONNECT_FAILED and self._now - server.heard < self._patience.late()
         ):
             # A server that answers others but takes no further call, or no further connection, is full, not
@@ -1042,15 +1052,15 @@
             # that drain in turn were taken for strain: the front cut its limit and refused half for 3 s.
             if sum(1 for s in self._arms if s.turned_away) > EJECT_MOST * len(self._arms):
                 self._feel(1.0)
-        elif outcome in (Outcome.ERROR, Outcome.RESET, Outcome.CONNECT_FAILED, Outcome.SPOILT):
-            if outcome in (Outcome.ERROR, Outcome.SPOILT):
+        elif outcome in (Outcome.ERROR, Outcome.RESET, Outcome.CONNECT_FAILED, Outcome.MALFORMED_RESPONSE):
+            if outcome in (Outcome.ERROR, Outcome.MALFORMED_RESPONSE):
                 server.heard = self._now
             self.automaton.charge(name, elapsed)
             health = server.classes[attempt.class_index]
             health.usual += USUAL_STEP * (1.0 - health.usual)
             if current and not (outcome is Outcome.ERROR and self._class_failed(server, attempt.class_index)):
                 self._failed(server, outcome)
-        elif outcome is Outcome.REJECTED:
+        elif outcome is Outcome.CLIENT_ERROR:
             server.heard = self._now  # the request is at fault, and neither the server nor the load
         elif outcome in (Outcome.TIMEOUT, Outcome.CANCELLED):
             # What was given up took at least this long: leaving it out would shorten patience for the next.
@@ -1058,7 +1068,7 @@
                 return  # withdrawn because another copy was quicker
             self._patience.observe(elapsed)
             self._class_patience[request.class_index].observe(elapsed)
-            self._feel(elapsed / request.kind.aim_ms)
+            self._feel(elapsed / request.kind.latency_objective_ms)
             self.automaton.charge(name, elapsed)
             if current and elapsed >= self._patience.late():
                 self._failed(server, outcome)
@@ -1101,13 +1111,13 @@
         ):
             kind = self.settings.classes[class_index]
             # A trial of what may not be repeated is a request lost if it fails: those are far between.
-            unsafe = kind.effect is Effect.UNSAFE
+            unsafe = kind.idempotency is Idempotency.NON_IDEMPOTENT
             part = (
                 EJECT_LONGEST if unsafe else min(EJECT_LONGEST, EJECT_FIRST * 2.0 ** min(health.strikes, 10))
             )
             pause = part * self._recovery * (0.75 + 0.5 * self._rng.random())
-            text = f"server {server.entry.server.hex()} gets no {kind.name} for {pause:.0f} ms"
-            self._actions.append(Log(f"{text}, fail {health.fail:.2f} against {norm:.2f} of its peers"))
+            text = f"server {server.entry.id.hex()} gets no {kind.name} for {pause:.0f} ms"
+            self._actions.append(LogEvent(f"{text}, fail {health.fail:.2f} against {norm:.2f} of its peers"))
             health.barred_until, health.trial, health.fail = self._now + pause, True, FAIL_STEP
             health.strikes += 1
         return True
@@ -1121,13 +1131,13 @@
         server.fail -= FAIL_STEP * server.fail
         if server.trial:
             server.trial = False
-            self._actions.append(Log(f"server {server.entry.server.hex()} returns after a good trial"))
+            self._actions.append(LogEvent(f"server {server.entry.id.hex()} returns after a good trial"))
         elif not server.ejected and server.fail < 0.05:
             server.strikes = 0
 
     def _failed(self, server: Server, outcome: Outcome) -> None:
         """Outlier ejection: against peers, at most a part of the fleet, longer each time."""
-        step = SPOILT_STEP if outcome is Outcome.SPOILT else FAIL_STEP
+        step = SPOILT_STEP if outcome is Outcome.MALFORMED_RESPONSE else FAIL_STEP
         server.fail += step * (1.0 - server.fail)
         if server.ejected:
             return
@@ -1140,30 +1150,30 @@
             and _can_spare(out, len(self._arms))
         ):
             server.ejected, server.trial = True, False
-            text = f"server {server.entry.server.hex()} ejected: {outcome.value}"
-            self._actions.append(Log(f"{text}, fail {server.fail:.2f} against {norm:.2f} of its peers"))
+            text = f"server {server.entry.id.hex()} ejected: {outcome.value}"
+            self._actions.append(LogEvent(f"{text}, fail {server.fail:.2f} against {norm:.2f} of its peers"))
             # Idle connections may lead to a dead process; a fresh one proves by failing that nothing ran.
-            self._actions.append(CloseIdle(server.entry.server))
+            self._actions.append(CloseIdleConnections(server.entry.id))
             self._schedule_return(server)
 
     def _schedule_return(self, server: Server) -> None:
         pause = self._recovery * min(EJECT_LONGEST, EJECT_FIRST * 2.0 ** min(server.strikes, 10))
         server.strikes += 1
-        self._at(self._now + pause * (0.75 + 0.5 * self._rng.random()), _RETURN, server.entry.server)
+        self._at(self._now + pause * (0.75 + 0.5 * self._rng.random()), _RETURN, server.entry.id)
 
     def _try_return(self, server: Server) -> None:
         if not server.ejected:
             return
-        if self.settings.may_probe and server.listed:
-            self._actions.append(Probe(server.entry.server))
+        if self.settings.health_checks_allowed and server.listed:
+            self._actions.append(CheckHealth(server.entry.id))
         else:
             self._admit_trial(server)
 
     def _admit_trial(self, server: Server) -> None:
         server.ejected, server.trial, server.fail = False, True, FAIL_STEP
 
-    def _on_probe(self, event: ProbeEnded) -> None:
-        server = self._servers.get(event.server)
+    def _on_probe(self, event: HealthCheckEnded) -> None:
+        server = self._servers.get(event.endpoint_id)
         if server is None or not server.ejected:
             return  # news of a server that has changed meanwhile
         if event.outcome is Outcome.OK:
@@ -1172,19 +1182,21 @@
             server.strikes = min(server.strikes, 1)  # probes are cheap: keep asking at a steady pace
             self._schedule_return(server)
 
-    def _on_started(self, event: AnswerStarted) -> None:
-        found = self._attempts.get((event.request, event.attempt))
+    def _on_started(self, event: ResponseStarted) -> None:
+        found = self._attempts.get((event.request_id, event.attempt_number))
         if found is None:
-            raise UnexpectedEvent(f"attempt {event.attempt} of request {event.request} was not out")
+            raise UnexpectedEventError(
+                f"attempt {event.attempt_number} of request {event.request_id} was not out"
+            )
         found[0].heard = self._now
-        request = self._requests.get(event.request)
+        request = self._requests.get(event.request_id)
         if request is not None:
             request.started = True
             self._leave_queue(request)
-            self._abandon(request, event.attempt)
+            self._abandon(request, event.attempt_number)
 
-    def _on_gone(self, event: RequestGone) -> None:
-        request = self._requests.pop(event.request, None)
+    def _on_gone(self, event: RequestAbandoned) -> None:
+        request = self._requests.pop(event.request_id, None)
         if request is not None:  # else it finished a moment ago
             self._leave_queue(request)
             self._abandon(request, None)
@@ -1238,7 +1250,7 @@
         lag = (self._step - STRAIN_STEP) / (STRAIN_MOST - STRAIN_STEP)
         calm = (TIMES_CALM + lag * (TIMES_CALM_LATE - TIMES_CALM)) * self._calm
         # Where even the calmest latencies are near the target, holding to it would shed without end.
-        target = TARGET * (settings.stages - settings.stage) / settings.stages
+        target = TARGET * (settings.tier_count - settings.tier_index) / settings.tier_count
         target = max(target, TARGET_TIMES * self._calm_lateness) if self._calm < math.inf else target
         self._pressure = self._lateness / target
         self._strain = max(self._pressure, self._level / calm if calm > 0 else 0.0)
@@ -1250,7 +1262,7 @@
         out = len(self._attempts) + 1
         # A server holds its slot while it waits for the tiers behind it: with a call for each of those its
         # core is just kept busy.  At one call a front that had taken a lucky start for calm shed 40% all day.
-        least = (settings.stages - settings.stage) * len(self._arms) / self._sharers
+        least = (settings.tier_count - settings.tier_index) * len(self._arms) / self._sharers
         if self._strain > 1.0:
             self._strained = True
             # Cut at most to what was in flight when as much was answered without a queue, times a margin:
@@ -1281,4 +1293,4 @@
             word = "on" if shedding else "off"
             text = f"admission limit {word}: {self._limit:.1f} calls, strain {self._strain:.2f}"
             text += f", mean latency {self._level:.0f} ms, calmest {self._calm:.0f} ms"
-            self._actions.append(Log(text))
+            self._actions.append(LogEvent(text))
--- a/load_balancer/proxy/configuration.py
+++ b/load_balancer/proxy/configuration.py
@@ -8,9 +8,9 @@
 from dataclasses import dataclass
 from typing import Any
 
-from load_balancer.interface import ImpossibleSettings, Settings
 from load_balancer.proxy.discovery import ListError, Listing, Naming, parse_address
-from load_balancer.settings_format import SettingsError, read_settings
+from load_balancer.settings import Settings, SettingsError
+from load_balancer.settings_format import read_settings
 
 _DEFAULT_CONN_IDLE_MS = 15_000.0
 # With fewer no request can be served.  A tight limit is the platform's to set, and no reason not to start:
@@ -55,8 +55,8 @@
     values = dict(flat(settings_raw))
     try:
         settings = read_settings(values)
-    except (SettingsError, ImpossibleSettings) as error:
-        raise ConfigError(str(error)) from None
+    except SettingsError as error:
+        raise ConfigError(f"settings: {error}") from None
     naming = Naming(_names(settings_raw, "azs"), _names(settings_raw, "models"))
     limits = _member(raw, "limits", dict)
     return Config(
--- a/load_balancer/proxy/discovery.py
+++ b/load_balancer/proxy/discovery.py
@@ -1,4 +1,4 @@
-"""Discovery: whole lists and watches, turned into ServerList events and addresses."""
+"""Discovery: whole lists and watches, turned into EndpointListUpdate events and addresses."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
 import httptools
 
-from load_balancer.interface import ListKind, Readiness, ServerEntry, ServerId, ServerList
+from load_balancer.events import Endpoint, EndpointId, EndpointListKind, EndpointListUpdate, EndpointState
 from load_balancer.proxy.json_stream import GarbledError, Objects
 from load_balancer.proxy.socket_poll import polls
 
@@ -34,9 +34,9 @@
 REWATCH_LEAST_S, REWATCH_MOST_S = 0.05, 0.25
 
 _LIFECYCLES = {
-    "SERVING": Readiness.READY,
-    "DRAINING": Readiness.DRAINING,
-    "DELETED": Readiness.GONE,
+    "SERVING": EndpointState.SERVING,
+    "DRAINING": EndpointState.DRAINING,
+    "DELETED": EndpointState.REMOVED,
 }
 
 
@@ -50,13 +50,19 @@
 
     version: int
     whole: bool
-    entries: tuple[ServerEntry, ...]
-    addresses: dict[ServerId, tuple[str, int]]
+    entries: tuple[Endpoint, ...]
+    addresses: dict[EndpointId, tuple[str, int]]
 
-    def event(self, *, cached: bool = False) -> ServerList:
+    def event(self, *, cached: bool = False) -> EndpointListUpdate:
         """What the module is told."""
-        kind = ListKind.CACHED if cached else ListKind.FULL if self.whole else ListKind.CHANGES
-        return ServerList(kind, self.entries, self.version)
+        kind = (
+            EndpointListKind.CACHED
+            if cached
+            else EndpointListKind.FULL
+            if self.whole
+            else EndpointListKind.DELTA
+        )
+        return EndpointListUpdate(kind, self.entries, self.version)
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,19 +80,19 @@
             for item in instances:
                 entry = self._entry(item)
                 entries.append(entry)
-                addresses[entry.server] = parse_address(item["hostPort"])
+                addresses[entry.id] = parse_address(item["hostPort"])
             return Listing(int(raw["generation"]), bool(raw["reset"]), tuple(entries), addresses)
         except KeyError as error:
             raise ListError(f"{error} is missing or unknown") from None
         except (TypeError, ValueError, AttributeError, OverflowError) as error:
             raise ListError(f"not a list of servers: {error}") from None
 
-    def _entry(self, item: dict[str, Any]) -> ServerEntry:
-        return ServerEntry(
-            server=item["instanceId"].encode(),
-            readiness=_LIFECYCLES[item["lifecycle"]],
-            capacity_hint=_finite(item.get("weight", 1.0)),
-            kind=_number(self.models, item.get("machineType", "")),
+    def _entry(self, item: dict[str, Any]) -> Endpoint:
+        return Endpoint(
+            id=item["instanceId"].encode(),
+            state=_LIFECYCLES[item["lifecycle"]],
+            weight=_finite(item.get("weight", 1.0)),
+            machine_type=_number(self.models, item.get("machineType", "")),
             zone=_number(self.zones, item.get("zone", "")),
             cell=_number((), item.get("cell", 0)),
             started_ms=_finite(item.get("startedAtMs", 0)),
--- a/load_balancer/proxy/downstream.py
+++ b/load_balancer/proxy/downstream.py
@@ -14,7 +14,6 @@
 from itertools import islice
 from typing import cast
 
-from load_balancer.interface import Effect, Settings
 from load_balancer.proxy.http1 import (
     CLASS,
     COST_HINT,
@@ -31,6 +30,7 @@
 )
 from load_balancer.proxy.loop_iterations import Turns
 from load_balancer.proxy.socket_poll import polls
+from load_balancer.settings import Idempotency, Settings
 
 log = logging.getLogger(__name__)
 
@@ -101,7 +101,7 @@
         return self.gone
 
     def answer(self, status: int, body: bytes = b"", extra: bytes = b"") -> None:
-        """Send the answer; nothing goes to a caller that has left, and no second answer to anybody."""
+        """SendAttempt the answer; nothing goes to a caller that has left, and no second answer to anybody."""
         if self.gone or self.output is not None:
             return
         # Nothing may follow an answer that closes: with more requests behind it this one leaves open.
@@ -241,7 +241,7 @@
         exchange.answer(status)
 
     def flush(self) -> None:
-        """Send what is due: answers in order, up to the first that is not there yet."""
+        """SendAttempt what is due: answers in order, up to the first that is not there yet."""
         transport = self._transport
         while self._exchanges and self._exchanges[0].output is not None and transport is not None:
             exchange = self._exchanges.popleft()
@@ -561,7 +561,7 @@
         tenant = self._tenants.get(headers[TENANT]) if self._tenants else 0
         if class_index is None or tenant is None:
             raise MessageError(400, "unknown class or tenant")
-        self._check_method(message, self._settings.classes[class_index].effect)
+        self._check_method(message, self._settings.classes[class_index].idempotency)
         hint = headers.get(COST_HINT)
         item = path.removeprefix(b"/api").removeprefix(b"/")
         return Ask(
@@ -575,13 +575,13 @@
         )
 
     @staticmethod
-    def _check_method(message: Message, effect: Effect) -> None:
+    def _check_method(message: Message, effect: Idempotency) -> None:
         """The method and the key must say of the effect what the class says: rule 2 rests on it."""
         keyed = IDEMPOTENCY_KEY in message.headers
-        safe = effect is Effect.SAFE
+        safe = effect is Idempotency.IDEMPOTENT
         if (
             message.method != (b"GET" if safe else b"POST")
-            or keyed != (effect is Effect.KEYED)
+            or keyed != (effect is Idempotency.KEYED)
             or (safe and message.body)
             or IDEMPOTENCY_KEY in message.repeated
             or (keyed and not TOKEN.fullmatch(message.headers[IDEMPOTENCY_KEY]))
--- a/load_balancer/proxy/server.py
+++ b/load_balancer/proxy/server.py
@@ -13,29 +13,31 @@
 from collections import deque
 from dataclasses import dataclass
 
-from load_balancer.interface import (
+from load_balancer.actions import (
     Action,
-    Arrival,
+    CancelAttempt,
+    CheckHealth,
+    CloseIdleConnections,
+    FailRequest,
+    LogEvent,
+    PollEndpointList,
+    RejectRequest,
+    SendAttempt,
+    SetTimer,
+)
+from load_balancer.events import (
     AttemptEnded,
-    Cancel,
-    CloseIdle,
+    Endpoint,
+    EndpointId,
+    EndpointListKind,
+    EndpointListUpdate,
+    EndpointState,
     Event,
-    Fail,
-    ListKind,
-    Log,
+    HealthCheckEnded,
     Outcome,
-    Probe,
-    ProbeEnded,
-    Readiness,
-    Refuse,
-    RequestGone,
+    RequestAbandoned,
+    RequestArrived,
     RequestId,
-    Send,
-    ServerEntry,
-    ServerId,
-    ServerList,
-    SetTimer,
-    Subscribe,
     TimerFired,
 )
 from load_balancer.policy.balancer import Balancer
@@ -151,11 +153,11 @@
         self._discovery = Discovery(
             config.discovery,
             config.naming,
-            pushed=not settings.ask_for_list,
-            call_s=CALL_PART * settings.must_ask_ms / 1000.0,
+            pushed=not settings.poll_endpoint_list,
+            call_s=CALL_PART * settings.poll_within_ms / 1000.0,
             grace_s=settings.drain_grace_ms / 1000.0,
             on_list=self._follow,
-            on_failed=lambda: self._post(ServerList(ListKind.FAILED)),
+            on_failed=lambda: self._post(EndpointListUpdate(EndpointListKind.FAILED)),
         )
 
     async def start(self) -> tuple[str, int]:
@@ -173,7 +175,7 @@
 
     def _ready(self) -> bool:
         """Whether servers are known, and from the agent where that tells of them unasked."""
-        told = self._discovery.heard or self._config.settings.ask_for_list
+        told = self._discovery.heard or self._config.settings.poll_endpoint_list
         waited = time.monotonic() - self._started_at >= KNOWN_WAIT_S
         return self._servers.any_listed() and (told or waited)
 
@@ -213,41 +215,41 @@
             actions = self._balancer.handle(event, self._clock.now())
         except Exception:
             log.exception("the module failed on %s", type(event).__name__)
-            if isinstance(event, Arrival | AttemptEnded):
-                self._answer_fault(event.request)
+            if isinstance(event, RequestArrived | AttemptEnded):
+                self._answer_fault(event.request_id)
             return
         for action in actions:
             try:
                 self._carry_out(action)
             except Exception:
                 log.exception("fault while carrying out %s", type(action).__name__)
-                if isinstance(action, Send | Refuse | Fail):
-                    self._answer_fault(action.request)
+                if isinstance(action, SendAttempt | RejectRequest | FailRequest):
+                    self._answer_fault(action.request_id)
 
     def _carry_out(self, action: Action) -> None:
         match action:
-            case Send():
+            case SendAttempt():
                 self._send(action)
             case SetTimer(token, at_ms):
                 delay = max(0.0, at_ms - self._clock.now()) / 1000.0
                 self._loop.call_later(delay, self._post, TimerFired(token))
-            case Refuse(request, retry_after_ms):
+            case RejectRequest(request, retry_after_ms):
                 retry = b"Retry-After: %.3f\r\n" % (retry_after_ms / 1000.0) if retry_after_ms else b""
                 self._finish(request, 503, extra=retry)
-            case Fail(request):
+            case FailRequest(request):
                 self._finish(request, 502)
-            case Cancel(request, attempt):
+            case CancelAttempt(request, attempt):
                 call = self._calls.get((request, attempt))
                 if call is not None:
                     call.give_up(Outcome.CANCELLED)
-            case Probe(server):
+            case CheckHealth(server):
                 self._probe(server)
-            case CloseIdle(server):
+            case CloseIdleConnections(server):
                 self._servers.close_idle(server)
-            case Subscribe():
+            case PollEndpointList():
                 self._discovery.subscribe()
-            case Log(text):
-                log.info("%s", text)
+            case LogEvent():
+                log.info("%s", action)
 
     # ------------------------------------------------------------ requests
 
@@ -275,7 +277,7 @@
         )
         exchange.on_gone = lambda: self._gone(request)
         self._post(
-            Arrival(
+            RequestArrived(
                 request,
                 ask.class_index,
                 budget,
@@ -312,7 +314,7 @@
     def _gone(self, request: RequestId) -> None:
         pending = self._close(request)
         if pending is not None:
-            self._post(RequestGone(request))
+            self._post(RequestAbandoned(request))
             self._withdraw(request, pending)
 
     def _withdraw(self, request: RequestId, pending: Pending) -> None:
@@ -324,7 +326,7 @@
         for number in range(pending.attempts):
             call = self._calls.get((request, number))
             if call is not None and not call.written:
-                call.give_up(Outcome.MOOT)
+                call.give_up(Outcome.NOT_SENT)
 
     def _overdue(self, request: RequestId) -> None:
         """The module owed an answer by now: the caller gets one all the same, before its time is over."""
@@ -334,24 +336,24 @@
     def _answer_fault(self, request: RequestId) -> None:
         if request in self._requests:
             self._finish(request, 500)
-            self._post(RequestGone(request))
+            self._post(RequestAbandoned(request))
 
     # ------------------------------------------------------------ attempts
 
-    def _send(self, action: Send) -> None:
-        request, server = action.request, action.server
+    def _send(self, action: SendAttempt) -> None:
+        request, server = action.request_id, action.endpoint_id
         pending = self._requests.get(request)
         if pending is None or pending.exchange.left():
             # Its caller left while it waited or while this was decided, and the module does not know yet.
             struck = self._struck[request]
-            self._post(AttemptEnded(request, struck.attempts, server, Outcome.MOOT, 0.0, True))
+            self._post(AttemptEnded(request, struck.attempts, server, Outcome.NOT_SENT, 0.0, True))
             struck.attempts += 1
             return
         number = pending.attempts
         pending.attempts += 1
         left = pending.deadline - self._clock.now()
         if left <= 0.0:
-            self._post(AttemptEnded(request, number, server, Outcome.MOOT, 0.0, False))
+            self._post(AttemptEnded(request, number, server, Outcome.NOT_SENT, 0.0, False))
             return
         timeout = min(action.timeout_ms, left) if action.timeout_ms > 0 else left
         sent = self._clock.now()
@@ -375,7 +377,7 @@
         self,
         request: RequestId,
         number: int,
-        server: ServerId,
+        server: EndpointId,
         sent: float,
         outcome: Outcome,
         answer: Message | None,
@@ -396,12 +398,12 @@
                 request, served
             )  # behind the outcome that ended it, so that the module learns in order
 
-    def _probe(self, server: ServerId) -> None:
+    def _probe(self, server: EndpointId) -> None:
         sent = self._clock.now()
         text = b"GET /health HTTP/1.1\r\nHost: %s\r\n\r\n" % self._host
 
         def done(outcome: Outcome, _: Message | None) -> None:
-            self._post(ProbeEnded(server, outcome, self._clock.now() - sent))
+            self._post(HealthCheckEnded(server, outcome, self._clock.now() - sent))
 
         self._servers.call(server, lambda _: text, PROBE_MS / 1000.0, done)
 
@@ -411,8 +413,8 @@
         replaced = self._servers.update(listing)
         self._post(listing.event(cached=cached))
         if replaced:
-            gone = tuple(ServerEntry(server, Readiness.GONE) for server in replaced)
-            self._post(ServerList(ListKind.CHANGES, gone, listing.version))
+            gone = tuple(Endpoint(server, EndpointState.REMOVED) for server in replaced)
+            self._post(EndpointListUpdate(EndpointListKind.DELTA, gone, listing.version))
 
     def reload(self) -> None:
         """SIGHUP: the configuration file was replaced; discovery may have moved."""
--- a/load_balancer/proxy/upstream.py
+++ b/load_balancer/proxy/upstream.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass, field
 from typing import cast
 
-from load_balancer.interface import Outcome, Readiness, ServerId
+from load_balancer.events import EndpointId, EndpointState, Outcome
 from load_balancer.proxy.discovery import Listing
 from load_balancer.proxy.http1 import NOT_RUN, Message, MessageError, Reader
 from load_balancer.proxy.socket_poll import polls
@@ -122,7 +122,7 @@
             self._reader.feed(data)
         except MessageError as error:
             log.warning("server %s: %s", self.peer.name, error)
-            self._break(Outcome.SPOILT)
+            self._break(Outcome.MALFORMED_RESPONSE)
             return
         if self._answer is not None:
             self._finish(self._answer)
@@ -163,9 +163,9 @@
     if message.status == 200:
         return Outcome.OK
     if message.status in (503, 504) and message.headers.get(NOT_RUN) == b"1":
-        return Outcome.FULL
-    if 400 <= message.status < 500:
         return Outcome.REJECTED
+    if 400 <= message.status < 500:
+        return Outcome.CLIENT_ERROR
     return Outcome.ERROR
 
 
@@ -194,45 +194,45 @@
         self._connect_s = connect_s
         self._idle_s = IDLE_PART * idle_s
         self._most_open = most_open
-        self._peers: dict[ServerId, Peer] = {}
-        self._at: dict[tuple[str, int], ServerId] = {}  # who listens there by the list
+        self._peers: dict[EndpointId, Peer] = {}
+        self._at: dict[tuple[str, int], EndpointId] = {}  # who listens there by the list
         self._open: set[Connection] = set()
         self._opening: set[asyncio.Task[None]] = set()
         self._sweeper = self._loop.call_later(SWEEP_S, self._sweep)
 
     # What the list says.
 
-    def update(self, listing: Listing) -> list[ServerId]:
+    def update(self, listing: Listing) -> list[EndpointId]:
         """Follow the list: with another address or start time old connections lead to a dead process.
 
         Returns the servers whose address is another's now.  What is sent there by the old name would meet
         the new server, which is cold.
         """
         if listing.whole:
-            for server in self._peers.keys() - {entry.server for entry in listing.entries}:
+            for server in self._peers.keys() - {entry.id for entry in listing.entries}:
                 self._drop(server)
-        replaced: list[ServerId] = []
+        replaced: list[EndpointId] = []
         for entry in listing.entries:
-            if entry.readiness is not Readiness.READY:
-                self._drop(entry.server)
+            if entry.state is not EndpointState.SERVING:
+                self._drop(entry.id)
                 continue
-            address = listing.addresses[entry.server]
+            address = listing.addresses[entry.id]
             rival = self._at.get(address)
-            if rival is not None and rival != entry.server:
-                older = entry.server if self._peers[rival].started_ms > entry.started_ms else rival
+            if rival is not None and rival != entry.id:
+                older = entry.id if self._peers[rival].started_ms > entry.started_ms else rival
                 self._drop(older)
                 replaced.append(older)
-                if older == entry.server:
+                if older == entry.id:
                     continue
-            peer = self._peers.get(entry.server)
+            peer = self._peers.get(entry.id)
             if peer is None or peer.address != address or peer.started_ms != entry.started_ms:
-                self._drop(entry.server)
-                name = entry.server.decode(errors="replace")
-                self._peers[entry.server] = Peer(name, address, entry.started_ms, self._idle_s)
-                self._at[address] = entry.server
+                self._drop(entry.id)
+                name = entry.id.decode(errors="replace")
+                self._peers[entry.id] = Peer(name, address, entry.started_ms, self._idle_s)
+                self._at[address] = entry.id
         return [server for server in replaced if server not in self._peers]  # else it is at another address
 
-    def _drop(self, server: ServerId) -> None:
+    def _drop(self, server: EndpointId) -> None:
         peer = self._peers.pop(server, None)
         if peer is not None:
             self._at.pop(peer.address, None)
@@ -245,7 +245,7 @@
     # Calls.
 
     def call(
-        self, server: ServerId, render: Render, timeout_s: float, done: Done, wanted: Wanted = lambda: True
+        self, server: EndpointId, render: Render, timeout_s: float, done: Done, wanted: Wanted = lambda: True
     ) -> Call:
         """Start one call; its outcome comes by done, once, at the earliest after this returns."""
         call = Call(render, timeout_s, done, wanted)
@@ -275,13 +275,13 @@
             call.end(Outcome.CONNECT_FAILED)
             return
         if not call.ended and not call.wanted():
-            call.end(Outcome.MOOT)
+            call.end(Outcome.NOT_SENT)
         if call.ended:
             self.rest(connection)
         elif not peer.current:
             # Drained, gone or restarted meanwhile: what was decided for it is not to reach it any more.
             connection.abandon()
-            call.end(Outcome.MOOT)
+            call.end(Outcome.NOT_SENT)
         elif connection.usable():
             connection.carry(call)
         else:
@@ -318,7 +318,7 @@
         connection.idle_since = self._loop.time()
         connection.peer.idle.append(connection)
 
-    def close_idle(self, server: ServerId) -> None:
+    def close_idle(self, server: EndpointId) -> None:
         peer = self._peers.get(server)
         if peer is not None:
             self._shed(list(peer.idle))
--- /dev/null
+++ b/load_balancer/settings.py
@@ -0,0 +1,192 @@
+"""The typed settings of one node, and the errors that name a setting at fault.
+
+Durations are in milliseconds, rates in units a second and capacities in fractions of a warm server, unless a
+field says otherwise.  How the settings are named in a configuration file or on the simulator's wire is known
+to ``load_balancer.settings_format`` only.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from enum import Enum
+
+
+class SettingsError(ValueError):
+    """A setting that is missing, cannot be read or cannot be meant.
+
+    Attributes:
+        key: the setting's name: a field here, a documented path where it was read.
+        problem: what is wrong with it, including its value.
+    """
+
+    def __init__(self, key: str, problem: str) -> None:
+        super().__init__(f"{key} {problem}")
+        self.key = key
+        self.problem = problem
+
+
+class Idempotency(Enum):
+    """What a second execution of a request would do."""
+
+    IDEMPOTENT = "safe"
+    """Nothing: the request may be repeated freely."""
+
+    KEYED = "keyed"
+    """Nothing while the servers remember its idempotency key."""
+
+    NON_IDEMPOTENT = "unsafe"
+    """Harm: the request must not run twice."""
+
+
+class DeduplicationScope(Enum):
+    """The servers that share their memory of idempotency keys."""
+
+    ALL = "all"
+    ZONE = "zone"
+    CELL = "cell"
+
+
+@dataclass(frozen=True, slots=True)
+class RequestClass:
+    """A class of requests and what an answer to it is worth.
+
+    Attributes:
+        name: the class as requests name it.
+        latency_objective_ms: an answer within this time has its full value.
+        deadline_ms: how long a client waits for an answer.
+        priority_weight: the value of an answer within the objective.
+        late_weight: the fraction of that value which a later answer has.
+        idempotency: what a second execution would do.
+        deduplication_scope: the servers that drop a repeat of the same key.
+        deduplication_window_ms: how long they remember a key.
+        streaming: answers are passed on while they arrive.
+        latency_objective_stretch: how far the objective grows with the work of a request.
+    """
+
+    name: str
+    latency_objective_ms: float
+    deadline_ms: float
+    priority_weight: float = 1.0
+    late_weight: float = 0.0
+    idempotency: Idempotency = Idempotency.IDEMPOTENT
+    deduplication_scope: DeduplicationScope = DeduplicationScope.ALL
+    deduplication_window_ms: float = 0.0
+    streaming: bool = False
+    latency_objective_stretch: float = 0.0
+
+    def __post_init__(self) -> None:
+        """Raise SettingsError for a value out of its range."""
+        _check_range(self, 1e-6, "latency_objective_ms", "deadline_ms")
+        _check_range(
+            self,
+            0.0,
+            "priority_weight",
+            "late_weight",
+            "deduplication_window_ms",
+            "latency_objective_stretch",
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class Tenant:
+    """One of those who share the service.
+
+    Attributes:
+        name: the tenant as requests name it.
+        fraction: its part of the capacity.
+        quota_per_s: requests a second within its quota, over all nodes of the first tier.
+    """
+
+    name: str
+    fraction: float
+    quota_per_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """What a node is told at its start.
+
+    Attributes:
+        classes: the classes of requests; events name them by position.
+        tenants: the tenants; events name them by position.
+        node_count: nodes of this tier.
+        node_index: this node's position among them.
+        tier_index: the tier that this node sends to, 0 for the first.
+        tier_count: the number of tiers.
+        zone: this node's zone.
+        zone_count: the number of zones.
+        max_attempts: attempts that one request may have.
+        hedging_allowed: a second attempt may start while the first is out.
+        cancel_allowed: an attempt may be cancelled.
+        health_checks_allowed: endpoints may be asked for their health.
+        retry_after_allowed: a rejection may say when to come back.
+        max_retry_after_ms: the longest such time.
+        priority_by_work: the value of an answer grows with the work of its request.
+        over_quota_weight: the fraction of the value that a request beyond its tenant's quota has.
+        poll_endpoint_list: the endpoint list is polled for; otherwise it is pushed.
+        poll_within_ms: the longest time between two polls.
+        use_endpoint_weights: the weights in the endpoint list are to be used.
+        propagates_deadline: a request carries the time that its caller has left.
+        response_slack_ms: how late after its deadline an answer still counts as given.
+        drain_grace_ms: how long after a notified drain an attempt may still be sent.
+        initial_capacity: the capacity of a server that has just started.
+        warm_up_ms: how long it takes to reach its full capacity.
+        overload_multiple: a warming server fails when sent this many times its capacity.
+        overload_window_ms: the time over which that is counted.
+        connect_timeout_ms: how long a connection may take to be established.
+        tick_ms: the resolution at which a host handles events.
+        cross_zone_cost: the cost of a request that crosses zones, 0 for none.
+        load_report_fields: the fields of a load report, in order.
+    """
+
+    classes: tuple[RequestClass, ...]
+    tenants: tuple[Tenant, ...] = ()
+    node_count: int = 1
+    node_index: int = 0
+    tier_index: int = 0
+    tier_count: int = 1
+    zone: int = 0
+    zone_count: int = 1
+    max_attempts: int = 3
+    hedging_allowed: bool = True
+    cancel_allowed: bool = True
+    health_checks_allowed: bool = False
+    retry_after_allowed: bool = True
+    max_retry_after_ms: float = 1000.0
+    priority_by_work: bool = False
+    over_quota_weight: float = 1.0
+    poll_endpoint_list: bool = False
+    poll_within_ms: float = 10_000.0
+    use_endpoint_weights: bool = False
+    propagates_deadline: bool = True
+    response_slack_ms: float = 0.0
+    drain_grace_ms: float = 0.0
+    initial_capacity: float = 0.3
+    warm_up_ms: float = 10_000.0
+    overload_multiple: float = 3.0
+    overload_window_ms: float = 1000.0
+    connect_timeout_ms: float = 250.0
+    tick_ms: float = 1.0
+    cross_zone_cost: float = 0.0
+    load_report_fields: tuple[str, ...] = ()
+
+    def __post_init__(self) -> None:
+        """Raise SettingsError for a value out of its range."""
+        if not self.classes:
+            raise SettingsError("classes", "is empty")
+        _check_range(self, 1, "node_count", "tier_count", "max_attempts")
+        _check_range(
+            self, 0.0, "tier_index", "warm_up_ms", "initial_capacity", "overload_window_ms", "tick_ms"
+        )
+        _check_range(
+            self, 0.0, "max_retry_after_ms", "over_quota_weight", "cross_zone_cost", "response_slack_ms"
+        )
+        _check_range(self, 1e-6, "poll_within_ms")
+
+
+def _check_range(values: object, least: float, *names: str) -> None:
+    for name in names:
+        value = getattr(values, name)
+        if not least <= value < math.inf:
+            raise SettingsError(name, f"is out of range: {value}")
--- a/load_balancer/settings_format.py
+++ b/load_balancer/settings_format.py
@@ -1,141 +1,156 @@
-"""The settings of an instance, read from path to value pairs with errors that name the key.
+"""Reads typed settings from the documented path to value pairs.
 
-The simulator's wire and a real node's configuration hold the same object, so both are read here.
+The simulator's wire and a node's configuration file carry the same settings, so both are read here, and only
+here are the documented names known.
 """
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
+from enum import Enum
+from typing import TypeVar
 
-from load_balancer.interface import Effect, RepeatGroup, RequestClass, Settings, Tenant
+from load_balancer.settings import (
+    DeduplicationScope,
+    Idempotency,
+    RequestClass,
+    Settings,
+    SettingsError,
+    Tenant,
+)
 
+EnumType = TypeVar("EnumType", bound=Enum)
 
-class SettingsError(Exception):
-    """A setting that is missing or cannot be read; its text names the key."""
+DEFAULT_POLL_WITHIN_MS = 10_000.0
+DEFAULT_INITIAL_CAPACITY = 0.3
+DEFAULT_OVERLOAD_MULTIPLE = 3.0
+DEFAULT_OVERLOAD_WINDOW_MS = 1000.0
+DEFAULT_CONNECT_TIMEOUT_MS = 250.0
+SMALLEST_DURATION_MS = 1e-6
 
 
-class _Setup:
-    """Typed, checked look-ups in path to value pairs; errors name the key."""
+class SettingsReader:
+    """Typed, checked look-ups in path to value pairs; SettingsError names the path."""
 
     def __init__(self, values: Mapping[str, str]) -> None:
-        self.values = values
+        self._values = values
 
-    def text(self, key: str, default: str | None = None) -> str:
-        value = self.values.get(key, default)
+    def text(self, path: str, default: str | None = None) -> str:
+        """The value as it stands; required where there is no default."""
+        value = self._values.get(path, default)
         if value is None:
-            raise SettingsError(f"settings: {key} is missing")
+            raise SettingsError(path, "is missing")
         return value
 
-    def number(self, key: str, default: float | None = None, low: float = 0.0) -> float:
-        raw = self.values.get(key, "")
-        if raw == "":
+    def number(self, path: str, default: float | None = None, least: float = 0.0) -> float:
+        """A finite number of at least so much; an empty value counts as none."""
+        text = self._values.get(path, "")
+        if text == "":
             if default is None:
-                raise SettingsError(f"settings: {key} is missing")
+                raise SettingsError(path, "is missing")
             return default
         try:
-            value = float(raw)
+            value = float(text)
         except ValueError:
-            raise SettingsError(f"settings: {key} is not a number: {raw!r}") from None
-        if not low <= value < float("inf"):
-            raise SettingsError(f"settings: {key} is out of range: {raw}")
+            raise SettingsError(path, f"is not a number: {text!r}") from None
+        if not least <= value < math.inf:
+            raise SettingsError(path, f"is out of range: {text}")
         return value
 
-    def whole(self, key: str, default: int | None = None, low: int = 0) -> int:
-        value = self.number(key, default, low)
+    def integer(self, path: str, default: int | None = None, least: int = 0) -> int:
+        """A whole number of at least so much."""
+        value = self.number(path, default, least)
         if value != int(value):
-            raise SettingsError(f"settings: {key} is not a whole number: {value}")
+            raise SettingsError(path, f"is not a whole number: {value}")
         return int(value)
 
-    def flag(self, key: str, default: bool) -> bool:
-        raw = self.values.get(key, "")
-        if raw == "":
+    def flag(self, path: str, default: bool) -> bool:
+        """True or false; an empty value counts as none."""
+        text = self._values.get(path, "")
+        if text == "":
             return default
-        if raw not in ("true", "false"):
-            raise SettingsError(f"settings: {key} is neither true nor false: {raw!r}")
-        return raw == "true"
-
-    def names(self, key: str) -> tuple[str, ...]:
-        raw = self.values.get(key, "")
-        return tuple(raw.split(",")) if raw else ()
-
-
-def _effect(setup: _Setup, key: str) -> Effect:
-    raw = setup.text(key)
-    try:
-        return Effect(raw)
-    except ValueError:
-        raise SettingsError(f"settings: {key} is an unknown effect: {raw!r}") from None
+        if text not in ("true", "false"):
+            raise SettingsError(path, f"is neither true nor false: {text!r}")
+        return text == "true"
+
+    def names(self, path: str) -> tuple[str, ...]:
+        """The items of a list of plain values."""
+        text = self._values.get(path, "")
+        return tuple(text.split(",")) if text else ()
+
+    def member(self, path: str, enum: type[EnumType], default: str | None = None) -> EnumType:
+        """The member of an enum that has this value."""
+        text = self.text(path, default)
+        try:
+            return enum(text)
+        except ValueError:
+            raise SettingsError(path, f"has an unknown value: {text!r}") from None
 
 
-def _group(setup: _Setup, key: str) -> RepeatGroup:
-    raw = setup.text(key, "all")
-    try:
-        return RepeatGroup(raw)
-    except ValueError:
-        raise SettingsError(f"settings: {key} is an unknown group: {raw!r}") from None
+def read_settings(values: Mapping[str, str]) -> Settings:
+    """Settings from path to value pairs; unknown paths are ignored.
+
+    Raises:
+        SettingsError: a value is missing, cannot be read or is out of its range.
+    """
+    reader = SettingsReader(values)
+    class_count = reader.integer("profiles.count", least=1)
+    tenant_count = reader.integer("tenants.count", 0)
+    return Settings(
+        classes=tuple(_read_class(reader, f"profiles.{i}") for i in range(class_count)),
+        tenants=tuple(_read_tenant(reader, f"tenants.{i}") for i in range(tenant_count)),
+        node_count=reader.integer("balancers", 1, 1),
+        node_index=reader.integer("ordinal", 0),
+        tier_index=reader.integer("stage", 0),
+        tier_count=max(1, len(reader.names("layers"))),
+        zone=reader.integer("locality", 0),
+        zone_count=max(1, len(reader.names("azs"))),
+        max_attempts=reader.integer("policyLimits.tryLimit", 1, 1),
+        hedging_allowed=reader.flag("policyLimits.mayDuplicate", False),
+        cancel_allowed=reader.flag("policyLimits.cancel", False),
+        health_checks_allowed=reader.flag("policyLimits.probes", False),
+        retry_after_allowed=reader.flag("policyLimits.retryAfter", False),
+        max_retry_after_ms=reader.number("policyLimits.maxRetryAfterMs", 0.0),
+        priority_by_work=reader.text("worthBy", "request") == "work",
+        over_quota_weight=reader.number("overShareWorth", 1.0),
+        poll_endpoint_list=reader.text("registryMode", "pushed") == "on_request",
+        poll_within_ms=reader.number("guarantees.mustAskInMs", DEFAULT_POLL_WITHIN_MS, 1.0),
+        use_endpoint_weights=reader.text("weights", "off") != "off",
+        propagates_deadline=reader.flag("familyInfo.passesDeadline", True),
+        response_slack_ms=reader.number("guarantees.answerSlackMs", 0.0),
+        drain_grace_ms=reader.number("guarantees.stopSendingWithinMs", 0.0),
+        initial_capacity=reader.number("guarantees.startCapacity", DEFAULT_INITIAL_CAPACITY),
+        warm_up_ms=reader.number("guarantees.coldMs", 0.0),
+        overload_multiple=reader.number("guarantees.fallMultiple", DEFAULT_OVERLOAD_MULTIPLE),
+        overload_window_ms=reader.number("guarantees.overloadForMs", DEFAULT_OVERLOAD_WINDOW_MS),
+        connect_timeout_ms=reader.number("policyLimits.connectTimeoutMs", DEFAULT_CONNECT_TIMEOUT_MS),
+        tick_ms=reader.number("tickMs", 1.0),
+        cross_zone_cost=reader.number("tariffs.crossZone", 0.0),
+        load_report_fields=reader.names("loadInfo.columns"),
+    )
 
 
-def _request_class(setup: _Setup, at: str) -> RequestClass:
-    effect = _effect(setup, f"{at}.effect")
-    keyed = effect is Effect.KEYED
+def _read_class(reader: SettingsReader, path: str) -> RequestClass:
+    idempotency = reader.member(f"{path}.effect", Idempotency)
+    window_default = None if idempotency is Idempotency.KEYED else 0.0
     return RequestClass(
-        name=setup.text(f"{at}.name", ""),
-        aim_ms=setup.number(f"{at}.aimMs", low=1e-6),
-        deadline_ms=setup.number(f"{at}.deadlineMs", low=1e-6),
-        worth=setup.number(f"{at}.worth", 1.0),
-        late_share=setup.number(f"{at}.lateShare", 0.0),
-        effect=effect,
-        group=_group(setup, f"{at}.group"),
-        window_ms=setup.number(f"{at}.windowMs", None if keyed else 0.0),
-        stream=setup.flag(f"{at}.stream", False),
-        aim_stretch=setup.number(f"{at}.aimStretch", 0.0),
+        name=reader.text(f"{path}.name", ""),
+        latency_objective_ms=reader.number(f"{path}.aimMs", least=SMALLEST_DURATION_MS),
+        deadline_ms=reader.number(f"{path}.deadlineMs", least=SMALLEST_DURATION_MS),
+        priority_weight=reader.number(f"{path}.worth", 1.0),
+        late_weight=reader.number(f"{path}.lateShare", 0.0),
+        idempotency=idempotency,
+        deduplication_scope=reader.member(f"{path}.group", DeduplicationScope, "all"),
+        deduplication_window_ms=reader.number(f"{path}.windowMs", window_default),
+        streaming=reader.flag(f"{path}.stream", False),
+        latency_objective_stretch=reader.number(f"{path}.aimStretch", 0.0),
     )
 
 
-def read_settings(values: Mapping[str, str]) -> Settings:
-    """Settings from path to value pairs; unknown keys are ignored."""
-    setup = _Setup(values)
-    count = setup.whole("profiles.count")
-    if count < 1:
-        raise SettingsError("settings: profiles.count must be at least 1")
-    classes = tuple(_request_class(setup, f"profiles.{i}") for i in range(count))
-    tenants = tuple(
-        Tenant(
-            name=setup.text(f"tenants.{i}.name", ""),
-            fraction=setup.number(f"tenants.{i}.fraction"),
-            quota_per_s=setup.number(f"tenants.{i}.quotaPerS", 0.0),
-        )
-        for i in range(setup.whole("tenants.count", 0))
-    )
-    return Settings(
-        classes=classes,
-        tenants=tenants,
-        balancers=setup.whole("balancers", 1, 1),
-        ordinal=setup.whole("ordinal", 0),
-        stage=setup.whole("stage", 0),
-        stages=max(1, len(setup.names("layers"))),
-        zone=setup.whole("locality", 0),
-        zones=max(1, len(setup.names("azs"))),
-        max_attempts=setup.whole("policyLimits.tryLimit", 1, 1),
-        may_duplicate=setup.flag("policyLimits.mayDuplicate", False),
-        may_cancel=setup.flag("policyLimits.cancel", False),
-        may_probe=setup.flag("policyLimits.probes", False),
-        retry_after=setup.flag("policyLimits.retryAfter", False),
-        max_retry_after_ms=setup.number("policyLimits.maxRetryAfterMs", 0.0),
-        worth_by_work=setup.text("worthBy", "request") == "work",
-        over_share_worth=setup.number("overShareWorth", 1.0),
-        ask_for_list=setup.text("registryMode", "pushed") == "on_request",
-        must_ask_ms=setup.number("guarantees.mustAskInMs", 10_000.0, 1.0),
-        capacity_hints=setup.text("weights", "off") != "off",
-        passes_deadline=setup.flag("familyInfo.passesDeadline", True),
-        answer_slack_ms=setup.number("guarantees.answerSlackMs", 0.0),
-        drain_grace_ms=setup.number("guarantees.stopSendingWithinMs", 0.0),
-        cold_start_share=setup.number("guarantees.startCapacity", 0.3),
-        cold_ms=setup.number("guarantees.coldMs", 0.0),
-        fall_multiple=setup.number("guarantees.fallMultiple", 3.0),
-        fall_window_ms=setup.number("guarantees.overloadForMs", 1000.0),
-        connect_timeout_ms=setup.number("policyLimits.connectTimeoutMs", 250.0),
-        tick_ms=setup.number("tickMs", 1.0),
-        cross_zone_price=setup.number("tariffs.crossZone", 0.0),
-        load_columns=setup.names("loadInfo.columns"),
+def _read_tenant(reader: SettingsReader, path: str) -> Tenant:
+    return Tenant(
+        name=reader.text(f"{path}.name", ""),
+        fraction=reader.number(f"{path}.fraction"),
+        quota_per_s=reader.number(f"{path}.quotaPerS", 0.0),
     )
--- a/load_balancer/simulator/codec.py
+++ b/load_balancer/simulator/codec.py
@@ -9,33 +9,35 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from load_balancer.interface import (
+from load_balancer.actions import (
     Action,
-    AnswerStarted,
-    Arrival,
+    CancelAttempt,
+    CheckHealth,
+    CloseIdleConnections,
+    FailRequest,
+    LogEvent,
+    PollEndpointList,
+    RejectRequest,
+    SendAttempt,
+    SetTimer,
+)
+from load_balancer.events import (
     AttemptEnded,
-    Cancel,
-    CloseIdle,
+    Endpoint,
+    EndpointListKind,
+    EndpointListUpdate,
+    EndpointState,
     Event,
-    Fail,
-    ListKind,
-    Log,
+    HealthCheckEnded,
     Outcome,
     PeerMessage,
-    Probe,
-    ProbeEnded,
-    Readiness,
-    Refuse,
-    RequestGone,
-    Send,
-    ServerEntry,
-    ServerList,
-    SetTimer,
-    Settings,
-    Subscribe,
+    RequestAbandoned,
+    RequestArrived,
+    ResponseStarted,
     TimerFired,
 )
-from load_balancer.settings_format import SettingsError, read_settings
+from load_balancer.settings import Settings, SettingsError
+from load_balancer.settings_format import read_settings
 
 BATCH_HEADER = struct.Struct("<IdI")
 REPLY_HEADER = struct.Struct("<II")
@@ -60,12 +62,12 @@
 _OUTCOMES = {
     200: Outcome.OK,
     502: Outcome.ERROR,
-    429: Outcome.FULL,
+    429: Outcome.REJECTED,
     408: Outcome.TIMEOUT,
     521: Outcome.CONNECT_FAILED,
     520: Outcome.RESET,
     444: Outcome.CANCELLED,
-    409: Outcome.MOOT,
+    409: Outcome.NOT_SENT,
 }
 
 
@@ -102,7 +104,7 @@
     try:
         return read_settings(values)
     except SettingsError as error:
-        raise WireError(str(error)) from None
+        raise WireError(f"settings: {error}") from None
 
 
 # ---------------------------------------------------------------- events
@@ -115,16 +117,16 @@
     return values
 
 
-def _entries(body: bytes) -> tuple[ServerEntry, ...]:
+def _entries(body: bytes) -> tuple[Endpoint, ...]:
     count = _TABLE.unpack_from(body)[1]
     if len(body) < _TABLE.size + count * _ENTRY.size:
         raise WireError("a table is shorter than its number of entries")
     rows = []
     for i in range(count):
-        hint, kind, server, zone, cell, readiness, started = _ENTRY.unpack_from(
+        hint, kind, server, zone, cell, state, started = _ENTRY.unpack_from(
             body, _TABLE.size + i * _ENTRY.size
         )
-        rows.append(ServerEntry(server, Readiness(readiness), hint, kind, zone, cell, started))
+        rows.append(Endpoint(server, EndpointState(state), hint, kind, zone, cell, started))
     return tuple(rows)
 
 
@@ -132,7 +134,7 @@
     """Reads batches in event order; keeps the numbered tables, which belong to the whole process."""
 
     def __init__(self) -> None:
-        self._tables: dict[int, tuple[ServerEntry, ...]] = {}
+        self._tables: dict[int, tuple[Endpoint, ...]] = {}
         self._settings: dict[bytes, Settings] = {}
 
     def records(self, body: bytes, count: int) -> Iterator[Record]:
@@ -164,7 +166,7 @@
         if code == 3:
             node, request, service, tenant, key, budget, cost, marks = _ARRIVAL.unpack_from(body)
             hint = cost if marks & _HINT_VALID else None
-            return node, Arrival(
+            return node, RequestArrived(
                 request, service, budget, tenant, key, hint, bool(marks & _REPEAT), bool(marks & _WRITE)
             )
         if code == 7:
@@ -172,9 +174,9 @@
             return node, TimerFired(token)
         if code == 2:
             node, version, number, mode = _SYNC.unpack_from(body)
-            kind = ListKind(mode)
-            entries = () if kind is ListKind.FAILED else self._tables[number]
-            return node, ServerList(kind, entries, version)
+            kind = EndpointListKind(mode)
+            entries = () if kind is EndpointListKind.FAILED else self._tables[number]
+            return node, EndpointListUpdate(kind, entries, version)
         if code == 11:
             number = _TABLE.unpack_from(body)[0]
             if number >= _TABLES:
@@ -183,13 +185,13 @@
             return None
         if code == 6:
             node, request = _GONE.unpack_from(body)
-            return node, RequestGone(request)
+            return node, RequestAbandoned(request)
         if code == 8:
             node, server, how, elapsed, n = _PING.unpack_from(body)
-            return node, ProbeEnded(server, _OUTCOMES[how], elapsed, _floats(body, _PING.size, n))
+            return node, HealthCheckEnded(server, _OUTCOMES[how], elapsed, _floats(body, _PING.size, n))
         if code == 4:
             node, request, attempt, elapsed, server = _FIRST.unpack_from(body)
-            return node, AnswerStarted(request, attempt, server, elapsed)
+            return node, ResponseStarted(request, attempt, server, elapsed)
         if code == 9:
             node, sender, n = _DATAGRAM.unpack_from(body)
             if len(body) < _DATAGRAM.size + n:
@@ -230,24 +232,24 @@
 def encode(node: int, action: Action) -> bytes:
     """One action of one instance as a record."""
     match action:
-        case Send(request, server, timeout):
+        case SendAttempt(request, server, timeout):
             return _SEND.pack(65, _sized(_SEND), node, request, server, timeout)
         case SetTimer(token, at):
             return _TIMER.pack(69, _sized(_TIMER), node, token, at)
-        case Refuse(request, retry_after):
+        case RejectRequest(request, retry_after):
             return _REFUSE.pack(66, _sized(_REFUSE), node, request, retry_after)
-        case Fail(request):
+        case FailRequest(request):
             return _FAIL.pack(67, _sized(_FAIL), node, request)
-        case Cancel(request, attempt):
+        case CancelAttempt(request, attempt):
             return _CANCEL.pack(68, _sized(_CANCEL), node, request, attempt)
-        case Probe(server):
+        case CheckHealth(server):
             return _SERVER.pack(70, _sized(_SERVER), node, server)
-        case CloseIdle(server):
+        case CloseIdleConnections(server):
             return _SERVER.pack(71, _sized(_SERVER), node, server)
-        case Subscribe():
+        case PollEndpointList():
             return _WATCH.pack(75, _sized(_WATCH), node, 1)
-        case Log(text):
-            return _text(73, node, text)
+        case LogEvent():
+            return _text(73, node, str(action))
 
 
 def encode_fault(node: int, text: str) -> bytes:
--- a/tests/checker.py
+++ b/tests/checker.py
@@ -11,39 +11,38 @@
 from dataclasses import dataclass, field
 
 from load_balancer import Balancer
-from load_balancer.interface import (
+from load_balancer.actions import (
     Action,
-    Arrival,
+    CancelAttempt,
+    CheckHealth,
+    FailRequest,
+    PollEndpointList,
+    RejectRequest,
+    SendAttempt,
+    SetTimer,
+)
+from load_balancer.events import (
     AttemptEnded,
-    Cancel,
-    Effect,
+    Endpoint,
+    EndpointId,
+    EndpointListKind,
+    EndpointListUpdate,
+    EndpointState,
     Event,
-    Fail,
-    ListKind,
+    HealthCheckEnded,
     Outcome,
-    Probe,
-    ProbeEnded,
-    Readiness,
-    Refuse,
-    RepeatGroup,
-    RequestClass,
-    RequestGone,
-    Send,
-    ServerEntry,
-    ServerId,
-    ServerList,
-    SetTimer,
-    Settings,
-    Subscribe,
+    RequestAbandoned,
+    RequestArrived,
     TimerFired,
 )
+from load_balancer.settings import DeduplicationScope, Idempotency, RequestClass, Settings
 
-PROOFS = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
+PROOFS = (Outcome.REJECTED, Outcome.CONNECT_FAILED, Outcome.NOT_SENT)
 
 
 @dataclass
 class Tried:
-    entry: ServerEntry
+    entry: Endpoint
     sent: float
     limit: float
     ended: Outcome | None = None
@@ -69,9 +68,9 @@
         self.balancer = Balancer(settings, seed)
         self.now = 1000.0
         self.owed: dict[int, Owed] = {}
-        self.rows: dict[ServerId, ServerEntry] = {}
+        self.rows: dict[EndpointId, Endpoint] = {}
         self.timers: list[tuple[float, int]] = []
-        self.probes: list[ServerId] = []
+        self.probes: list[EndpointId] = []
         self.subscriptions = 0
         self.log: list[Action] = []
         self.next_id = 1
@@ -91,7 +90,7 @@
         self.next_id += 1
         self.owed[request] = Owed(kind, self.now + budget)
         self.open.add(request)
-        self.feed(Arrival(request, class_index, budget))
+        self.feed(RequestArrived(request, class_index, budget))
         return request
 
     def end(self, request: int, number: int, outcome: Outcome) -> None:
@@ -102,59 +101,69 @@
             owed.done_at = self.now
         finished = owed.done_at is not None
         elapsed = self.now - tried.sent
-        self.feed(AttemptEnded(request, number, tried.entry.server, outcome, elapsed, finished))
+        self.feed(AttemptEnded(request, number, tried.entry.id, outcome, elapsed, finished))
 
     def live(self, request: int) -> Iterator[int]:
         """The attempts still out; one that is sent while going through them comes up too."""
         return (number for number, tried in enumerate(self.owed[request].attempts) if tried.ended is None)
 
-    def list_of(self, rows: list[ServerEntry], kind: ListKind = ListKind.FULL) -> None:
-        if kind is not ListKind.CHANGES:
+    def list_of(self, rows: list[Endpoint], kind: EndpointListKind = EndpointListKind.FULL) -> None:
+        if kind is not EndpointListKind.DELTA:
             self.rows = {}
-        self.rows.update({r.server: r for r in rows})
-        self.feed(ServerList(kind, tuple(rows)))
+        self.rows.update({r.id: r for r in rows})
+        self.feed(EndpointListUpdate(kind, tuple(rows)))
 
     def _check(self, action: Action) -> None:
         match action:
-            case Send(request, server, timeout):
+            case SendAttempt(request, server, timeout):
                 self._check_send(request, server, timeout)
-            case Refuse(request, _) | Fail(request):
+            case RejectRequest(request, _) | FailRequest(request):
                 owed = self.owed[request]
                 assert owed.done_at is None, "rule 1: a second final answer"
-                assert self.now <= owed.deadline + self.settings.answer_slack_ms, "rule 1: answered too late"
+                assert (
+                    self.now <= owed.deadline + self.settings.response_slack_ms
+                ), "rule 1: answered too late"
                 owed.done_at = self.now
-                if isinstance(action, Refuse) and owed.risky() and owed.kind.effect is not Effect.SAFE:
-                    assert owed.kind.effect is Effect.KEYED, "rule 2: refused an unsafe one that may have run"
-                    assert owed.kind.group is RepeatGroup.ALL, "rule 2: refusal needs the group of all"
+                if (
+                    isinstance(action, RejectRequest)
+                    and owed.risky()
+                    and owed.kind.idempotency is not Idempotency.IDEMPOTENT
+                ):
+                    assert (
+                        owed.kind.idempotency is Idempotency.KEYED
+                    ), "rule 2: refused an unsafe one that may have run"
+                    assert (
+                        owed.kind.deduplication_scope is DeduplicationScope.ALL
+                    ), "rule 2: refusal needs the group of all"
             case SetTimer(token, at):
                 self.timers.append((at, token))
-            case Cancel(request, number):
-                assert self.settings.may_cancel and number < len(self.owed[request].attempts)
-            case Probe(server):
-                assert self.settings.may_probe and server in self.rows
+            case CancelAttempt(request, number):
+                assert self.settings.cancel_allowed and number < len(self.owed[request].attempts)
+            case CheckHealth(server):
+                assert self.settings.health_checks_allowed and server in self.rows
                 self.probes.append(server)
-            case Subscribe():
+            case PollEndpointList():
                 self.subscriptions += 1
 
-    def _check_send(self, request: int, server: ServerId, timeout: float) -> None:
+    def _check_send(self, request: int, server: EndpointId, timeout: float) -> None:
         owed = self.owed[request]
         assert owed.done_at is None, "rule 1: sent for a finished request"
         assert self.now < owed.deadline and timeout >= 0.0
         assert len(owed.attempts) < self.settings.max_attempts
         entry = self.rows.get(server)
-        assert entry is not None and entry.readiness is Readiness.READY, "rule 3: sent to a drained server"
+        assert entry is not None and entry.state is EndpointState.SERVING, "rule 3: sent to a drained server"
         risky = owed.risky()
         if risky:
             kind = owed.kind
-            assert kind.effect is not Effect.UNSAFE, "rule 2: an unsafe request sent twice"
-            if not self.settings.may_duplicate:
+            assert kind.idempotency is not Idempotency.NON_IDEMPOTENT, "rule 2: an unsafe request sent twice"
+            if not self.settings.hedging_allowed:
                 assert all(a.ended is not None for a in owed.attempts), "two copies at once"
-            if kind.effect is Effect.KEYED:
+            if kind.idempotency is Idempotency.KEYED:
                 for other in risky:
-                    assert self.now - other.sent < kind.window_ms, "rule 2: outside the window"
-                    if kind.group is RepeatGroup.CELL:
+                    assert self.now - other.sent < kind.deduplication_window_ms, "rule 2: outside the window"
+                    if kind.deduplication_scope is DeduplicationScope.CELL:
                         assert entry.cell == other.entry.cell, "rule 2: another cell"
-                    if kind.group is RepeatGroup.ZONE:
+                    if kind.deduplication_scope is DeduplicationScope.ZONE:
                         assert entry.zone == other.entry.zone, "rule 2: another zone"
         limit = min(owed.deadline, self.now + timeout) if timeout else owed.deadline
         owed.attempts.append(Tried(entry, self.now, limit))
@@ -176,7 +185,7 @@
         self.fire_due()
         for owed in self.owed.values():
             assert (
-                owed.done_at is not None or self.now <= owed.deadline + self.settings.answer_slack_ms
+                owed.done_at is not None or self.now <= owed.deadline + self.settings.response_slack_ms
             ), "rule 1: no answer in time"
 
     def fire_due(self) -> None:
@@ -206,9 +215,9 @@
                 owed = self.owed.get(request)
                 if owed is not None and owed.done_at is None:
                     owed.done_at = self.now
-                self.feed(RequestGone(request))
+                self.feed(RequestAbandoned(request))
             elif what < 0.76 and self.probes:
-                self.feed(ProbeEnded(self.probes.pop(), rng.choice(outcomes), 5.0))
+                self.feed(HealthCheckEnded(self.probes.pop(), rng.choice(outcomes), 5.0))
             else:
                 self.step(rng.choice([0.0, 5.0, 5.0, 10.0, 15.0]))
         for _ in range(2000):
@@ -216,17 +225,17 @@
 
     def _muddle_list(self) -> None:
         rng = self.rng
-        kind = rng.choice(list(ListKind))
-        if kind is ListKind.FAILED:
-            self.feed(ServerList(kind))
+        kind = rng.choice(list(EndpointListKind))
+        if kind is EndpointListKind.FAILED:
+            self.feed(EndpointListUpdate(kind))
             return
         rows = []
         for i in range(12):
             if rng.random() < 0.6:
                 started = rng.choice([0.0, self.now - 200.0])
                 rows.append(
-                    ServerEntry(
-                        bytes([i]), rng.choice(list(Readiness)), 1.0 + i % 2, 0, i % 3, i // 4, started
+                    Endpoint(
+                        bytes([i]), rng.choice(list(EndpointState)), 1.0 + i % 2, 0, i % 3, i // 4, started
                     )
                 )
         self.list_of(rows, kind)
--- a/tests/compare_stream.py
+++ b/tests/compare_stream.py
@@ -2,9 +2,9 @@
 
     python tests/compare_stream.py FILE...    from the root of the repository
 
-A tap holds a line of text (direction, process, size) before each line of hexadecimal bytes. The texts of log
-actions may differ; every other byte of every reply has to be the same. Prints the processor time of the adapter
-for each stream, so that two revisions can be compared in one sitting.
+A tap holds a line of text (direction, process, size) before each line of hexadecimal bytes.  The texts of log
+actions may differ; every other byte of every reply has to be the same.  Prints the processor time of the
+adapter for each stream, so that two revisions can be compared in one sitting.
 """
 
 from __future__ import annotations
@@ -133,7 +133,9 @@
         except StreamMismatchError as error:
             print(error, file=sys.stderr)
             return 1
-        print(f"{path.name}: {compared} replies the same, {children_seconds() - before:.2f} s of processor time")
+        print(
+            f"{path.name}: {compared} replies the same, {children_seconds() - before:.2f} s of processor time"
+        )
     return 0
 
 
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -4,12 +4,13 @@
 
 import pytest
 
-from load_balancer.interface import ListKind, Outcome, Readiness, RequestClass, ServerEntry, Settings
+from load_balancer.events import Endpoint, EndpointListKind, EndpointState, Outcome
+from load_balancer.settings import RequestClass, Settings
 from tests.checker import Surrounding
 
 COLD_MS = 20_000.0
 SETTINGS = Settings(
-    classes=(RequestClass("r", 1000, 3000),), cold_ms=COLD_MS, cold_start_share=0.2, fall_multiple=4.0
+    classes=(RequestClass("r", 1000, 3000),), warm_up_ms=COLD_MS, initial_capacity=0.2, overload_multiple=4.0
 )
 
 
@@ -17,10 +18,10 @@
     """A node that has long sent 20 calls a second to each of its servers, when some are replaced."""
     play = Surrounding(SETTINGS, seed=4)
     names = [bytes([n]) for n in range(warm + cold)]
-    play.list_of([ServerEntry(name) for name in names])
+    play.list_of([Endpoint(name) for name in names])
     serve(play, 4.0, 20 * (warm + cold))
-    started = [ServerEntry(name, started_ms=play.now) for name in names[warm:]]
-    play.list_of(started, ListKind.CHANGES)
+    started = [Endpoint(name, started_ms=play.now) for name in names[warm:]]
+    play.list_of(started, EndpointListKind.DELTA)
     return play
 
 
@@ -31,7 +32,7 @@
         play.step(1000.0 / per_s)
         request = play.arrive()
         for number in list(play.live(request)):
-            got.append(play.owed[request].attempts[number].entry.server)
+            got.append(play.owed[request].attempts[number].entry.id)
             play.end(request, number, Outcome.OK)
     return got
 
@@ -65,7 +66,7 @@
     rest, and by the time latencies told so the rest had turned slow for good."""
     play = fleet(warm=8, cold=0)
     before = sum(1 for r in [play.arrive() for _ in range(60)] for _ in play.live(r))
-    play.list_of([ServerEntry(bytes([n]), Readiness.GONE) for n in range(4)], ListKind.CHANGES)
+    play.list_of([Endpoint(bytes([n]), EndpointState.REMOVED) for n in range(4)], EndpointListKind.DELTA)
     settle(play)
     after = sum(1 for r in [play.arrive() for _ in range(60)] for _ in play.live(r))
     assert before >= 6 * 8 - 1
@@ -76,11 +77,11 @@
     """Seen when a zone is lost: the list goes on naming what has vanished, and the limit counted it."""
     play = fleet(warm=8, cold=0)
     bad = {bytes([0]), bytes([1])}
-    while not all(s.ejected for s in play.balancer._arms if s.entry.server in bad):
+    while not all(s.ejected for s in play.balancer._arms if s.entry.id in bad):
         play.step(10.0)
         request = play.arrive()
         for number in list(play.live(request)):
-            hit = play.owed[request].attempts[number].entry.server in bad
+            hit = play.owed[request].attempts[number].entry.id in bad
             play.end(request, number, Outcome.RESET if hit else Outcome.OK)
     settle(play)
     requests = [play.arrive() for _ in range(60)]
@@ -91,9 +92,11 @@
 def _refused(latency_ms: float, stages: int, per_s: int) -> float:
     """The part of an even stream that finds no place, where nothing queues and answers take this long."""
     classes = (RequestClass("r", 4500, 9000),)
-    settings = Settings(classes, balancers=13, stages=stages, cold_ms=COLD_MS, answer_slack_ms=500.0)
+    settings = Settings(
+        classes, node_count=13, tier_count=stages, warm_up_ms=COLD_MS, response_slack_ms=500.0
+    )
     play = Surrounding(settings, seed=4)
-    play.list_of([ServerEntry(bytes([n])) for n in range(15)])
+    play.list_of([Endpoint(bytes([n])) for n in range(15)])
     for _ in range(20 * per_s):
         play.step(1000.0 / per_s)
         for request, number in [(r, n) for r in list(play.open) for n in play.live(r)]:
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -11,31 +11,29 @@
 
 import pytest
 
-from load_balancer.interface import (
-    Action,
-    Arrival,
+from load_balancer.actions import Action, FailRequest, RejectRequest, SendAttempt, SetTimer
+from load_balancer.events import (
     AttemptEnded,
+    Endpoint,
+    EndpointListKind,
+    EndpointListUpdate,
     Event,
-    Fail,
-    ListKind,
     Outcome,
-    Refuse,
-    RequestClass,
-    Send,
-    ServerEntry,
-    ServerList,
-    SetTimer,
-    Settings,
+    RequestArrived,
     TimerFired,
 )
 from load_balancer.policy.balancer import Balancer
+from load_balancer.settings import RequestClass, Settings
 
 BEARS = 20.0  # units a second that a warm server bears
 REPLACED_AT = 8_000.0
 END_AT = 11_000.0
 TOLD_MOST_MS = 200.0
 SETTINGS = Settings(
-    classes=(RequestClass("r", 1000, 3000),), cold_ms=12_000.0, cold_start_share=0.2, fall_window_ms=1000.0
+    classes=(RequestClass("r", 1000, 3000),),
+    warm_up_ms=12_000.0,
+    initial_capacity=0.2,
+    overload_window_ms=1000.0,
 )
 
 
@@ -72,14 +70,16 @@
         self._due: list[tuple[float, int, int, Balancer, Event | None]] = []
 
     def _new(self, ordinal: int) -> Balancer:
-        settings = replace(SETTINGS, balancers=self.nodes, ordinal=ordinal, fall_multiple=self.multiple)
+        settings = replace(
+            SETTINGS, node_count=self.nodes, node_index=ordinal, overload_multiple=self.multiple
+        )
         return Balancer(settings, 1000 * self.seed + ordinal)
 
     def play(self) -> None:
         """From the first request to some seconds after servers were replaced."""
-        whole = tuple(ServerEntry(name) for name in self._names)
+        whole = tuple(Endpoint(name) for name in self._names)
         for i in range(self.nodes):
-            self._feed(i, ServerList(ListKind.FULL, whole))
+            self._feed(i, EndpointListUpdate(EndpointListKind.FULL, whole))
         self._at(0.0, -1, None)
         while self._due and (due := heapq.heappop(self._due))[0] < END_AT:
             at, _, node, balancer, event = due
@@ -95,13 +95,17 @@
         heapq.heappush(self._due, (when, next(self._order), node, self._balancers[node], event))
 
     def _replace_servers(self) -> None:
-        cold = tuple(ServerEntry(name, started_ms=REPLACED_AT) for name in self._names[-self.cold :])
+        cold = tuple(Endpoint(name, started_ms=REPLACED_AT) for name in self._names[-self.cold :])
         for i in range(self.nodes):
             if self.fresh:
                 self._balancers[i] = self._new(i)
-                self._at(REPLACED_AT, i, ServerList(ListKind.FULL, tuple(map(ServerEntry, self._names))))
+                self._at(
+                    REPLACED_AT,
+                    i,
+                    EndpointListUpdate(EndpointListKind.FULL, tuple(map(Endpoint, self._names))),
+                )
             told = REPLACED_AT + self._rng.random() * TOLD_MOST_MS
-            self._at(told, i, ServerList(ListKind.CHANGES, cold))
+            self._at(told, i, EndpointListUpdate(EndpointListKind.DELTA, cold))
 
     def _arrive(self) -> None:
         """A request of some work at some node; from the replacement on half as many again."""
@@ -113,29 +117,34 @@
         units = max(0.02, self._rng.lognormvariate(-0.35, 0.83))
         request = next(self._ids)
         self._open[node, request] = units, 0
-        self._feed(node, Arrival(request, 0, 2900.0, cost_hint_ms=10.0 * units))
+        self._feed(node, RequestArrived(request, 0, 2900.0, cost_hint_ms=10.0 * units))
 
     def _feed(self, node: int, event: Event) -> None:
-        if isinstance(event, ServerList) and event.kind is ListKind.CHANGES:
+        if isinstance(event, EndpointListUpdate) and event.kind is EndpointListKind.DELTA:
             self._told[node] = True
         elif isinstance(event, AttemptEnded) and event.finished:
-            self._open.pop((node, event.request), None)
+            self._open.pop((node, event.request_id), None)
         for action in self._balancers[node].handle(event, self.now):
             self._carry_out(node, action)
 
     def _carry_out(self, node: int, action: Action) -> None:
         if isinstance(action, SetTimer):
             self._at(action.at_ms, node, TimerFired(action.token))
-        elif isinstance(action, Refuse | Fail):
-            self._open.pop((node, action.request), None)
-        elif isinstance(action, Send):
-            units, number = self._open[node, action.request]
-            self._open[node, action.request] = units, number + 1
-            self.sent.append(Sent(self.now, action.server, units, self._told[node]))
-            took = self._queue(action.server, units)
+        elif isinstance(action, RejectRequest | FailRequest):
+            self._open.pop((node, action.request_id), None)
+        elif isinstance(action, SendAttempt):
+            units, number = self._open[node, action.request_id]
+            self._open[node, action.request_id] = units, number + 1
+            self.sent.append(Sent(self.now, action.endpoint_id, units, self._told[node]))
+            took = self._queue(action.endpoint_id, units)
             outcome = Outcome.OK if took < 2800.0 else Outcome.TIMEOUT
             ended = AttemptEnded(
-                action.request, number, action.server, outcome, min(took, 2850.0), outcome is Outcome.OK
+                action.request_id,
+                number,
+                action.endpoint_id,
+                outcome,
+                min(took, 2850.0),
+                outcome is Outcome.OK,
             )
             self._at(self.now + min(took, 2850.0), node, ended)
 
@@ -149,8 +158,8 @@
         """What a replaced server bears of what it will bear when it is warm."""
         if now < REPLACED_AT:
             return 1.0
-        low = SETTINGS.cold_start_share
-        return min(1.0, low + (1.0 - low) * (now - REPLACED_AT) / SETTINGS.cold_ms)
+        low = SETTINGS.initial_capacity
+        return min(1.0, low + (1.0 - low) * (now - REPLACED_AT) / SETTINGS.warm_up_ms)
 
     def worst(self) -> float:
         """The most that a cold server got in a window, against its budget and what is put down to chance.
@@ -164,11 +173,11 @@
                 if one.server != name or one.at < REPLACED_AT:
                     continue
                 window.append(one)
-                while window[0].at < one.at - SETTINGS.fall_window_ms:
+                while window[0].at < one.at - SETTINGS.overload_window_ms:
                     window.popleft()
                 got = sum(s.units for s in window)
-                begin = max(REPLACED_AT, one.at - SETTINGS.fall_window_ms)
-                budget = self.multiple * self.ramp(begin) * BEARS * SETTINGS.fall_window_ms / 1000.0
+                begin = max(REPLACED_AT, one.at - SETTINGS.overload_window_ms)
+                budget = self.multiple * self.ramp(begin) * BEARS * SETTINGS.overload_window_ms / 1000.0
                 if sum(s.units for s in window if s.told) > 2 / 3 * got:
                     worst = max(worst, got / (budget + 2.0 * math.sqrt(budget) + 2.0))
         return worst
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -9,10 +9,11 @@
 
 import pytest
 
-from load_balancer.interface import Effect, ListKind, Readiness
+from load_balancer.events import EndpointListKind, EndpointState
 from load_balancer.proxy.configuration import ConfigError, load
 from load_balancer.proxy.discovery import ListError, Naming
 from load_balancer.proxy.server import Clock
+from load_balancer.settings import Idempotency
 from tests.stubs import listing, row, settings
 
 
@@ -40,14 +41,14 @@
     assert config.listen == ("127.0.0.1", 0), "the environment goes before the file"
     assert config.discovery == ("127.0.0.1", 8500)
     assert config.seed == 0x8C1F30D27A5BE964
-    assert config.settings.classes[1].effect is Effect.KEYED
-    assert config.settings.ask_for_list and config.settings.may_probe
+    assert config.settings.classes[1].idempotency is Idempotency.KEYED
+    assert config.settings.poll_endpoint_list and config.settings.health_checks_allowed
     assert config.settings.tenants[0].name == "acme"
     assert config.known is not None
     event = config.known.event(cached=True)
-    assert (event.kind, event.version) == (ListKind.CACHED, 41)
-    entry = event.entries[0]
-    assert (entry.server, entry.readiness, entry.started_ms) == (b"s-1", Readiness.DRAINING, 12.0)
+    assert (event.kind, event.version) == (EndpointListKind.CACHED, 41)
+    entry = event.endpoints[0]
+    assert (entry.id, entry.state, entry.started_ms) == (b"s-1", EndpointState.DRAINING, 12.0)
 
 
 @pytest.mark.parametrize(
@@ -104,8 +105,8 @@
     rows = [{**row("a", "h:1"), "zone": "south", "machineType": kind} for kind in ("slow", "odd", "std")]
     entries = naming.read(listing(1, *rows)).entries
     assert [entry.zone for entry in entries] == [1, 1, 1]
-    assert len({entry.kind for entry in entries}) == 3
-    assert (entries[0].kind, entries[2].kind) == (1, 0)
+    assert len({entry.machine_type for entry in entries}) == 3
+    assert (entries[0].machine_type, entries[2].machine_type) == (1, 0)
 
 
 def test_the_clock_reads_unix_time_and_ignores_a_step_back(monkeypatch: pytest.MonkeyPatch) -> None:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -7,37 +7,36 @@
 import pytest
 
 from load_balancer import Balancer
-from load_balancer.interface import (
-    Arrival,
+from load_balancer.actions import (
+    CancelAttempt,
+    CheckHealth,
+    CloseIdleConnections,
+    LogEvent,
+    PollEndpointList,
+    RejectRequest,
+    SendAttempt,
+)
+from load_balancer.events import (
     AttemptEnded,
-    Cancel,
-    CloseIdle,
-    Effect,
-    ListKind,
-    Log,
+    Endpoint,
+    EndpointListKind,
+    EndpointListUpdate,
+    HealthCheckEnded,
     Outcome,
-    Probe,
-    ProbeEnded,
-    Refuse,
-    RequestClass,
-    Send,
-    ServerEntry,
-    ServerList,
-    Settings,
-    Subscribe,
-    Tenant,
+    RequestArrived,
 )
 from load_balancer.policy.balancer import BUDGET_PLUS, BUDGET_TIMES
+from load_balancer.settings import Idempotency, RequestClass, Settings, Tenant
 from tests.checker import Owed, Surrounding
 
 SAFE = RequestClass("r", 1000, 3000)
-UNSAFE = RequestClass("w", 1000, 3000, worth=3.0, effect=Effect.UNSAFE)
+UNSAFE = RequestClass("w", 1000, 3000, priority_weight=3.0, idempotency=Idempotency.NON_IDEMPOTENT)
 
 
 def make(*classes: RequestClass, servers: int = 6, **more: object) -> Surrounding:
-    values: dict[str, object] = {"answer_slack_ms": 20.0, "tick_ms": 5.0, "max_attempts": 4, **more}
+    values: dict[str, object] = {"response_slack_ms": 20.0, "tick_ms": 5.0, "max_attempts": 4, **more}
     play = Surrounding(Settings(classes=classes or (SAFE,), **values), seed=9)  # type: ignore[arg-type]
-    play.list_of([ServerEntry(bytes([i]), zone=i % 3) for i in range(servers)])
+    play.list_of([Endpoint(bytes([i]), zone=i % 3) for i in range(servers)])
     return play
 
 
@@ -49,7 +48,7 @@
         request = play.arrive()
         play.step(latency)
         for number in play.live(request):
-            hit = play.owed[request].attempts[number].entry.server == bad
+            hit = play.owed[request].attempts[number].entry.id == bad
             play.end(request, number, how if hit else Outcome.OK)
 
 
@@ -61,11 +60,11 @@
 
 
 def texts(play: Surrounding) -> list[str]:
-    return [a.text for a in play.log if isinstance(a, Log)]
+    return [str(a) for a in play.log if isinstance(a, LogEvent)]
 
 
 def sent_to(play: Surrounding, since: int) -> list[bytes]:
-    return [a.server for a in play.log[since:] if isinstance(a, Send)]
+    return [a.endpoint_id for a in play.log[since:] if isinstance(a, SendAttempt)]
 
 
 def test_ordinary_path_draws_by_the_vector_alone() -> None:
@@ -74,7 +73,9 @@
     mark = len(play.log)
     serve(play, 3000)
     sends = sent_to(play, mark)
-    assert len(sends) == 3000 and not any(isinstance(a, Refuse | Cancel | CloseIdle) for a in play.log)
+    assert len(sends) == 3000 and not any(
+        isinstance(a, RejectRequest | CancelAttempt | CloseIdleConnections) for a in play.log
+    )
     p = play.balancer.automaton.p
     for server, share in zip(play.balancer.automaton.servers, p, strict=True):
         assert abs(sends.count(server) / 3000 - share) < 0.08
@@ -82,26 +83,26 @@
 
 
 def test_fast_errors_eject_one_server_and_a_probe_brings_it_back() -> None:
-    play = make(may_probe=True, cold_ms=1000.0)
+    play = make(health_checks_allowed=True, warm_up_ms=1000.0)
     bad = bytes([2])
     serve(play, 60, bad=bad)
     assert any("0x" not in t and t.startswith("server 02 ejected: error") for t in texts(play))
-    assert CloseIdle(bad) in play.log
+    assert CloseIdleConnections(bad) in play.log
     for _ in range(60):  # it comes back by a probe and one good trial
         play.step(20)
         while play.probes:
-            play.feed(ProbeEnded(play.probes.pop(), Outcome.OK, 1.0))
+            play.feed(HealthCheckEnded(play.probes.pop(), Outcome.OK, 1.0))
         serve(play, 2)
-    assert Probe(bad) in play.log and "server 02 returns after a good trial" in texts(play)
+    assert CheckHealth(bad) in play.log and "server 02 returns after a good trial" in texts(play)
 
 
 def test_a_trial_is_never_a_request_that_may_run_only_once() -> None:
-    play = make(SAFE, UNSAFE, may_probe=True, cold_ms=1000.0)
+    play = make(SAFE, UNSAFE, health_checks_allowed=True, warm_up_ms=1000.0)
     bad = bytes([2])
     serve(play, 60, bad=bad)
     play.step(2000)
     play.probes.clear()
-    play.feed(ProbeEnded(bad, Outcome.OK, 1.0))
+    play.feed(HealthCheckEnded(bad, Outcome.OK, 1.0))
     mark = len(play.log)
     for _ in range(40):
         play.end(play.arrive(1), 0, Outcome.OK)
@@ -127,11 +128,11 @@
     play = make()
     serve(play, 60)
     stuck = play.arrive()
-    silent = play.owed[stuck].attempts[0].entry.server
+    silent = play.owed[stuck].attempts[0].entry.id
     for _ in range(10):
         play.now += 20.0
         done = play.arrive()
-        if play.owed[done].attempts[0].entry.server != silent:
+        if play.owed[done].attempts[0].entry.id != silent:
             play.end(done, 0, Outcome.OK)
     mark = len(play.log)
     for _ in range(40):
@@ -145,26 +146,26 @@
         play = make(servers=2)
         serve(play, 60, latency=60.0)
         late = play.arrive()
-        server = play.owed[late].attempts[0].entry.server
+        server = play.owed[late].attempts[0].entry.id
         for _ in range(12):
             other = play.arrive()
             play.step(20)
             for number, tried in enumerate(play.owed[other].attempts):
-                if tried.ended is None and (answers or tried.entry.server != server):
+                if tried.ended is None and (answers or tried.entry.id != server):
                     play.end(other, number, Outcome.OK)
         assert (len(play.owed[late].attempts) == 1) is answers
 
 
 def test_a_silent_servers_call_gets_its_second_copy_also_where_a_tier_has_twice_its_calmest_latency() -> None:
     """A strained inner tier once gave up on second copies for good: a call waited there for its deadline."""
-    play = make(stage=2, stages=3)
+    play = make(tier_index=2, tier_count=3)
     serve(play, 200, latency=20.0)
     serve(play, 100, latency=70.0)
     assert any(t.startswith("admission limit on") for t in texts(play))
     request = play.arrive()
     for _ in range(10):
         play.step(100.0)
-    first, second, *_ = (a.entry.server for a in play.owed[request].attempts)
+    first, second, *_ = (a.entry.id for a in play.owed[request].attempts)
     assert first != second
 
 
@@ -188,7 +189,7 @@
             server.heard = play.now - quiet
         mark = len(play.log)
         request = play.arrive(kind)
-        assert any(isinstance(a, CloseIdle) for a in play.log[mark:]) is closes
+        assert any(isinstance(a, CloseIdleConnections) for a in play.log[mark:]) is closes
         end_all(play, [request])
 
 
@@ -199,7 +200,7 @@
     held = [0] * 5
     for owed in play.owed.values():
         for tried in owed.attempts:
-            held[tried.entry.server[0]] += 1
+            held[tried.entry.id[0]] += 1
     assert sum(held) == 25
     assert max(held) <= BUDGET_PLUS + BUDGET_TIMES * 25 / 5 + 1
 
@@ -209,15 +210,15 @@
     play = make(servers=3)
     serve(play, 40)
     open_calls = [play.arrive() for _ in range(12)]
-    full = play.owed[open_calls[0]].attempts[0].entry.server
-    held = sum(1 for r in open_calls if play.owed[r].attempts[0].entry.server == full)
-    there = [r for r in open_calls if play.owed[r].attempts[0].entry.server == full]
+    full = play.owed[open_calls[0]].attempts[0].entry.id
+    held = sum(1 for r in open_calls if play.owed[r].attempts[0].entry.id == full)
+    there = [r for r in open_calls if play.owed[r].attempts[0].entry.id == full]
     play.end(there[0], 0, Outcome.OK)  # it answers, so it is not dead
     play.end(there[-1], 0, Outcome.CONNECT_FAILED)
     for _ in range(10):
         play.arrive()
     now_held = sum(
-        1 for o in play.owed.values() for t in o.attempts if t.ended is None and t.entry.server == full
+        1 for o in play.owed.values() for t in o.attempts if t.ended is None and t.entry.id == full
     )
     assert now_held <= held - 1 and not any("ejected" in t for t in texts(play))
 
@@ -233,11 +234,11 @@
     mark = len(play.log)
     for request in out[:10]:
         play.end(request, 0, Outcome.OK)
-    placed = [a.request for a in play.log[mark:] if isinstance(a, Send)]
+    placed = [a.request_id for a in play.log[mark:] if isinstance(a, SendAttempt)]
     assert placed and all(play.owed[r].kind is UNSAFE for r in placed[:10])
     for _ in range(60):
         play.step(20)
-    assert any(isinstance(a, Refuse) for a in play.log)
+    assert any(isinstance(a, RejectRequest) for a in play.log)
 
 
 def test_what_finds_no_place_is_refused_within_a_twentieth_of_its_aim() -> None:
@@ -245,8 +246,8 @@
     play = make(SAFE, servers=4)
     requests = [play.arrive() for _ in range(100)]
     for _ in range(4):
-        play.step(0.0125 * SAFE.aim_ms)
-    refused = {a.request for a in play.log if isinstance(a, Refuse)}
+        play.step(0.0125 * SAFE.latency_objective_ms)
+    refused = {a.request_id for a in play.log if isinstance(a, RejectRequest)}
     unplaced = {r for r in requests if not play.owed[r].attempts}
     assert len(unplaced) > 50 and refused == unplaced
 
@@ -270,23 +271,23 @@
 
 def test_traffic_beyond_a_tenants_share_waits_behind() -> None:
     tenants = (Tenant("a", 0.5, 10.0), Tenant("b", 0.5, 10.0))
-    settings = Settings(classes=(SAFE,), tenants=tenants, over_share_worth=0.1)
+    settings = Settings(classes=(SAFE,), tenants=tenants, over_quota_weight=0.1)
     node = Balancer(settings, 5)
-    node.handle(ServerList(ListKind.FULL, (ServerEntry(b"x"),)), 0.0)
+    node.handle(EndpointListUpdate(EndpointListKind.FULL, (Endpoint(b"x"),)), 0.0)
     for i in range(40):
-        node.handle(Arrival(i, 0, 3000.0, tenant=0), 1.0)
-    node.handle(Arrival(99, 0, 3000.0, tenant=1), 2.0)
+        node.handle(RequestArrived(i, 0, 3000.0, tenant=0), 1.0)
+    node.handle(RequestArrived(99, 0, 3000.0, tenant=1), 2.0)
     placed: list[int] = []
     for i in range(6):
         actions = node.handle(AttemptEnded(i, 0, b"x", Outcome.OK, 1.0, True), 2.0)
-        placed += [a.request for a in actions if isinstance(a, Send)]
+        placed += [a.request_id for a in actions if isinstance(a, SendAttempt)]
     # The ten within the share of the first tenant, then the other tenant's, then what is beyond the share.
     assert placed == [6, 7, 8, 9, 99, 10]
 
 
 def test_own_zone_first_where_crossing_has_a_price() -> None:
     for price in (0.0, 0.1):
-        play = make(servers=6, cross_zone_price=price, zones=3, zone=1)
+        play = make(servers=6, cross_zone_cost=price, zone_count=3, zone=1)
         mark = len(play.log)
         serve(play, 60)
         zones = {server[0] % 3 for server in sent_to(play, mark)}
@@ -294,24 +295,24 @@
 
 
 def test_the_list_is_asked_for_with_growing_pauses() -> None:
-    play = Surrounding(Settings(classes=(SAFE,), ask_for_list=True, must_ask_ms=10_000.0), seed=4)
-    play.list_of([ServerEntry(b"a")], ListKind.CACHED)
+    play = Surrounding(Settings(classes=(SAFE,), poll_endpoint_list=True, poll_within_ms=10_000.0), seed=4)
+    play.list_of([Endpoint(b"a")], EndpointListKind.CACHED)
     times: list[float] = []
     for _ in range(4000):
         before = play.subscriptions
         play.step(10)
         if play.subscriptions > before:
             times.append(play.now)
-            play.feed(ServerList(ListKind.FAILED))
+            play.feed(EndpointListUpdate(EndpointListKind.FAILED))
     gaps = [b - a for a, b in zip(times, times[1:], strict=False)]
     assert times[0] - 1000.0 <= 3000.0 and max(gaps) <= 5000.0 and gaps[3] > gaps[0]
     assert texts(play) == ["server list lost: a call failed or the subscription broke"]
-    play.feed(ServerList(ListKind.CHANGES))
+    play.feed(EndpointListUpdate(EndpointListKind.DELTA))
     assert texts(play)[-1].startswith("server list found again after")
     asked = play.subscriptions
     for _ in range(2000):
         play.step(10)
-    assert play.subscriptions == asked and Subscribe() in play.log
+    assert play.subscriptions == asked and PollEndpointList() in play.log
 
 
 def test_the_quick_answers_of_the_first_moments_are_not_taken_for_calm() -> None:
@@ -329,8 +330,8 @@
             play.end(request, number, Outcome.OK)
     mark = len(play.log)
     serve(play, 150, latency=150.0)
-    assert not any(isinstance(a, Refuse) for a in play.log[mark:])
-    assert not any(isinstance(a, Log) and "admission limit on" in a.text for a in play.log[mark:])
+    assert not any(isinstance(a, RejectRequest) for a in play.log[mark:])
+    assert not any(isinstance(a, LogEvent) and "admission limit on" in str(a) for a in play.log[mark:])
 
 
 def test_a_late_outcome_of_a_silent_server_rests_it_and_one_of_a_busy_server_does_not() -> None:
@@ -340,12 +341,12 @@
             play = make(servers=5)
             serve(play, 60)
             late = play.arrive()
-            server = play.owed[late].attempts[0].entry.server
+            server = play.owed[late].attempts[0].entry.id
             others = [play.arrive() for _ in range(12)]
             play.now += 100.0
             for request in others:  # the silent server answers none of them before the late one
                 for number in list(play.live(request)):
-                    if answers or play.owed[request].attempts[number].entry.server != server:
+                    if answers or play.owed[request].attempts[number].entry.id != server:
                         play.end(request, number, Outcome.OK)
             play.now += 300.0
             play.end(late, 0, how)
@@ -364,7 +365,7 @@
     play = make(servers=9)
     serve(play, 60)
     calls = [play.arrive() for _ in range(9)]
-    assert len({play.owed[r].attempts[0].entry.server for r in calls}) >= 6
+    assert len({play.owed[r].attempts[0].entry.id for r in calls}) >= 6
     play.now += 600.0
     end_all(play, calls)
     mark = len(play.log)
@@ -392,7 +393,7 @@
 
 def test_the_best_rate_of_few_answers_is_not_taken_at_its_word() -> None:
     """Seen at full size: the luckiest of many short counts, twice the true rate, held the limit up."""
-    play = make(balancers=100)
+    play = make(node_count=100)
     node = play.balancer
     serve(play, 60, latency=400.0)  # two and a half answers a second
     true_rate = 1 / 400.0
@@ -432,7 +433,7 @@
 
 def test_in_a_jam_the_limit_falls_within_a_few_aims() -> None:
     """Seen at full size: with all calls overdue a tenth was cut every five seconds, too slow to drain."""
-    play = make(balancers=600)
+    play = make(node_count=600)
     node = play.balancer
     serve(play, 12, latency=50.0)
     before = node._limit
@@ -447,7 +448,7 @@
 def test_the_limit_leaves_each_server_a_call_for_every_tier_to_come() -> None:
     """Guards against a lucky start taken for calm: at a call a server a front then shed 40% of a day."""
     slow = RequestClass("r", 1500, 4000)
-    play = make(slow, servers=4, stages=3, stage=0)
+    play = make(slow, servers=4, tier_count=3, tier_index=0)
     serve(play, 60, latency=50.0)  # calm
     serve(play, 60, latency=200.0)  # strained against that, though far inside the aim
     assert any(t.startswith("admission limit on") for t in texts(play))
@@ -457,7 +458,7 @@
 
 def test_a_burst_far_inside_the_aim_is_not_refused() -> None:
     """A limit by the calmest latency once held the answers to half their rate and refused the other half."""
-    play = make(RequestClass("r", 1500, 4000), servers=4, stages=3, stage=0)
+    play = make(RequestClass("r", 1500, 4000), servers=4, tier_count=3, tier_index=0)
     for latency in [60.0] * 300 + [300.0] * 500:  # one every 20 ms
         play.arrive()
         play.step(20.0)
@@ -466,7 +467,7 @@
             if tried and not tried[0].ended and play.now - tried[0].sent >= latency:
                 play.end(request, 0, Outcome.OK)
     assert any(t.startswith("admission limit on") for t in texts(play))
-    assert sum(isinstance(a, Refuse) for a in play.log) < 25
+    assert sum(isinstance(a, RejectRequest) for a in play.log) < 25
 
 
 def test_a_quick_start_is_not_taken_for_calm() -> None:
@@ -479,18 +480,18 @@
 
 def test_a_server_that_fails_one_class_keeps_the_others_and_is_left_alone_with_that_one() -> None:
     """A good trial with another class says nothing: seen as two lost requests for each of its returns."""
-    play = make(SAFE, UNSAFE, may_probe=True, cold_ms=1000.0)
+    play = make(SAFE, UNSAFE, health_checks_allowed=True, warm_up_ms=1000.0)
     bad = bytes([2])
 
     def one(class_index: int) -> None:
         request = play.arrive(class_index)
         play.step(20)
         for number in play.live(request):
-            fails = class_index == 1 and play.owed[request].attempts[number].entry.server == bad
+            fails = class_index == 1 and play.owed[request].attempts[number].entry.id == bad
             play.end(request, number, Outcome.ERROR if fails else Outcome.OK)
 
     def fell() -> int:
-        return sum(o.kind is UNSAFE and bool(o.risky()) and o.risky()[0].entry.server == bad for o in _all())
+        return sum(o.kind is UNSAFE and bool(o.risky()) and o.risky()[0].entry.id == bad for o in _all())
 
     def _all() -> list[Owed]:
         return list(play.owed.values())
@@ -510,7 +511,7 @@
 
 
 def test_a_server_that_serves_a_class_again_gets_it_back() -> None:
-    play = make(SAFE, UNSAFE, may_probe=True, cold_ms=1000.0)
+    play = make(SAFE, UNSAFE, health_checks_allowed=True, warm_up_ms=1000.0)
     bad = bytes([2])
     serve(play, 30)
     health = play.balancer._servers[bad].classes[1]
@@ -518,7 +519,7 @@
         request = play.arrive(1)
         play.step(20)
         for number in play.live(request):
-            hit = play.owed[request].attempts[number].entry.server == bad
+            hit = play.owed[request].attempts[number].entry.id == bad
             play.end(request, number, Outcome.ERROR if hit else Outcome.OK)
     play.step(6000)
     for _ in range(100):
@@ -530,14 +531,14 @@
 
 def test_errors_from_behind_that_meet_all_servers_bar_none_of_them() -> None:
     """A tier further in fails a booking in twelve; that two in a row met one server says nothing of it."""
-    play = make(SAFE, UNSAFE, servers=4, stages=2)
+    play = make(SAFE, UNSAFE, servers=4, tier_count=2)
     one = bytes([0])
 
     def book(outcome: Outcome, at: bytes = b"") -> bytes:
         """A booking that ends like this, or well if it met another server than the one named."""
         request = play.arrive(1)
         play.step(20)
-        met = play.owed[request].attempts[0].entry.server
+        met = play.owed[request].attempts[0].entry.id
         play.end(request, 0, outcome if at in (b"", met) else Outcome.OK)
         return met
 
@@ -556,7 +557,7 @@
 
 def test_a_class_that_came_back_by_a_good_trial_is_not_barred_for_one_error() -> None:
     """What was held against it before had been kept, so that the next error of any tier barred it again."""
-    play = make(SAFE, UNSAFE, cold_ms=1000.0)
+    play = make(SAFE, UNSAFE, warm_up_ms=1000.0)
     bad = bytes([2])
     serve(play, 60)
     health = play.balancer._servers[bad].classes[1]
@@ -567,7 +568,7 @@
         while not met:
             request = play.arrive(1)
             play.step(20)
-            met = play.owed[request].attempts[0].entry.server == bad
+            met = play.owed[request].attempts[0].entry.id == bad
             play.end(request, 0, outcome if met else Outcome.OK)
 
     while not health.trial:
@@ -584,7 +585,7 @@
         request = play.arrive()
         play.step(10)
         (number,) = play.live(request)
-        play.end(request, number, Outcome.REJECTED)
+        play.end(request, number, Outcome.CLIENT_ERROR)
         assert len(play.owed[request].attempts) == 1
     assert texts(play) == []
 
@@ -592,19 +593,19 @@
 def test_servers_that_are_gone_are_forgotten() -> None:
     play = make()
     for generation in range(50):
-        play.list_of([ServerEntry(b"%d/%d" % (generation, i)) for i in range(6)])
+        play.list_of([Endpoint(b"%d/%d" % (generation, i)) for i in range(6)])
         serve(play, 3)
     assert len(play.balancer._servers) <= 7
 
 
 def test_a_server_that_went_while_it_was_left_out_is_not_looked_up() -> None:
-    play = make(may_probe=True, cold_ms=1000.0)
+    play = make(health_checks_allowed=True, warm_up_ms=1000.0)
     serve(play, 60, bad=bytes([2]))
     play.balancer._schedule_return(play.balancer._servers[bytes([2])])
     since = len(play.log)
-    play.list_of([ServerEntry(bytes([i])) for i in range(6) if i != 2])
+    play.list_of([Endpoint(bytes([i])) for i in range(6) if i != 2])
     play.step(5000)
-    assert Probe(bytes([2])) not in play.log[since:]
+    assert CheckHealth(bytes([2])) not in play.log[since:]
     assert bytes([2]) not in play.balancer._servers
 
 
@@ -614,7 +615,7 @@
     serve(play, 60)
     before = play.balancer._strain
     since = len(play.log)
-    serve(play, 120, bad=bytes([2]), how=Outcome.FULL)
+    serve(play, 120, bad=bytes([2]), how=Outcome.REJECTED)
     assert play.balancer._strain <= before + 0.05
     assert sent_to(play, since).count(bytes([2])) <= 8
     serve(play, 200)
@@ -628,14 +629,14 @@
         request = play.arrive()
         play.step(10)
         for number in play.live(request):
-            play.end(request, number, Outcome.FULL)
+            play.end(request, number, Outcome.REJECTED)
     assert play.balancer._strain > 1.0
 
 
 def test_a_list_of_more_than_a_thousand_servers_and_nodes_is_used_whole() -> None:
-    settings = Settings(classes=(SAFE,), balancers=1500, ordinal=1400)
+    settings = Settings(classes=(SAFE,), node_count=1500, node_index=1400)
     play = Surrounding(settings, seed=3)
-    play.list_of([ServerEntry(b"%d" % i) for i in range(1500)])
+    play.list_of([Endpoint(b"%d" % i) for i in range(1500)])
     assert len(play.balancer.automaton.servers) == 1500
     assert abs(sum(play.balancer.automaton.p) - 1.0) < 1e-9
     request = play.arrive()
@@ -647,8 +648,8 @@
     refused on a calm day, as the bound let no more into work than it let out."""
     bounds = []
     for stages in (2, 3):
-        play = Surrounding(Settings(classes=(SAFE,), stages=stages), seed=3)
-        play.list_of([ServerEntry(b"a")])
+        play = Surrounding(Settings(classes=(SAFE,), tier_count=stages), seed=3)
+        play.list_of([Endpoint(b"a")])
         balancer = play.balancer
         balancer._now, balancer._calm = play.now, 1000.0
         balancer._served.add(1.0, play.now - 1000.0)
@@ -665,9 +666,9 @@
     ended_ms: float, again: bool
 ) -> None:
     """Seen where a third of the connections come up late: sent in the window, and written after it."""
-    kind = RequestClass("k", 1000, 3000, effect=Effect.KEYED, window_ms=1000.0)
+    kind = RequestClass("k", 1000, 3000, idempotency=Idempotency.KEYED, deduplication_window_ms=1000.0)
     play = Surrounding(Settings(classes=(kind,), connect_timeout_ms=150.0, max_attempts=3), seed=3)
-    play.list_of([ServerEntry(b"a"), ServerEntry(b"b")])
+    play.list_of([Endpoint(b"a"), Endpoint(b"b")])
     request = play.arrive()
     (first,) = play.live(request)
     play.step(ended_ms)
--- a/tests/test_home.py
+++ b/tests/test_home.py
@@ -5,7 +5,8 @@
 from collections import Counter
 
 from load_balancer import Balancer
-from load_balancer.interface import ListKind, Readiness, RequestClass, ServerEntry, ServerList, Settings
+from load_balancer.events import Endpoint, EndpointListKind, EndpointListUpdate, EndpointState
+from load_balancer.settings import RequestClass, Settings
 
 KIND = RequestClass("r", 1000, 3000)
 
@@ -13,18 +14,20 @@
 def node(
     ordinal: int, nodes: int, servers: int, gone: frozenset[int] = frozenset(), **more: float
 ) -> Balancer:
-    settings = Settings(classes=(KIND,), balancers=nodes, ordinal=ordinal, **more)  # type: ignore[arg-type]
+    settings = Settings(classes=(KIND,), node_count=nodes, node_index=ordinal, **more)  # type: ignore[arg-type]
     balancer = Balancer(settings, seed=ordinal)
     rows = [
-        ServerEntry(i.to_bytes(2, "big"), kind=i % 2, zone=i % 3) for i in range(servers) if i not in gone
+        Endpoint(i.to_bytes(2, "big"), machine_type=i % 2, zone=i % 3)
+        for i in range(servers)
+        if i not in gone
     ]
-    balancer.handle(ServerList(ListKind.FULL, tuple(rows)), 1.0)
+    balancer.handle(EndpointListUpdate(EndpointListKind.FULL, tuple(rows)), 1.0)
     return balancer
 
 
 def home(balancer: Balancer) -> set[bytes]:
     pairs = zip(balancer._arms, balancer._home, strict=True)
-    return {s.entry.server for s, own in pairs if own}
+    return {s.entry.id for s, own in pairs if own}
 
 
 def test_all_servers_are_met_alike_and_both_kinds_in_every_home() -> None:
@@ -46,8 +49,8 @@
 
 
 def test_a_home_lies_in_the_own_zone_where_crossing_has_a_price() -> None:
-    balancer = node(7, 400, 60, cross_zone_price=0.02, zone=1)
-    assert {s.entry.zone for s in balancer._arms if s.entry.server in home(balancer)} == {1}
+    balancer = node(7, 400, 60, cross_zone_cost=0.02, zone=1)
+    assert {s.entry.zone for s in balancer._arms if s.entry.id in home(balancer)} == {1}
 
 
 def test_a_change_of_the_list_moves_few_servers_of_a_home() -> None:
@@ -60,6 +63,6 @@
 def test_a_home_that_is_gone_leaves_the_others() -> None:
     balancer = node(7, 400, 60)
     for number, server in enumerate(sorted(home(balancer))):
-        row = ServerEntry(server, Readiness.DRAINING)
-        balancer.handle(ServerList(ListKind.CHANGES, (row,)), 2.0 + number)
+        row = Endpoint(server, EndpointState.DRAINING)
+        balancer.handle(EndpointListUpdate(EndpointListKind.DELTA, (row,)), 2.0 + number)
     assert len(balancer._near(list(range(len(balancer._arms))))) >= 2
--- a/tests/test_list_calls.py
+++ b/tests/test_list_calls.py
@@ -7,11 +7,12 @@
 
 import pytest
 
-from load_balancer.interface import ListKind, RequestClass, ServerEntry, ServerList, Settings
+from load_balancer.events import Endpoint, EndpointListKind, EndpointListUpdate
+from load_balancer.settings import RequestClass, Settings
 from tests.checker import Surrounding
 
 ASKING = Settings(
-    classes=(RequestClass("r", 1000, 3000),), ask_for_list=True, must_ask_ms=4000.0, tick_ms=5.0
+    classes=(RequestClass("r", 1000, 3000),), poll_endpoint_list=True, poll_within_ms=4000.0, tick_ms=5.0
 )
 
 
@@ -19,7 +20,7 @@
     """Seen in service: every failed call left a second timer behind, so that calls doubled with each
     pause until their count overflowed a float and stopped the instance."""
     play = Surrounding(ASKING, seed=5)
-    play.list_of([ServerEntry(b"a")], ListKind.CACHED)
+    play.list_of([Endpoint(b"a")], EndpointListKind.CACHED)
     answered = 0
     per_second = []
     for _ in range(60):
@@ -28,7 +29,7 @@
             play.step(50.0)
             while answered < play.subscriptions:
                 answered += 1
-                play.feed(ServerList(ListKind.FAILED))
+                play.feed(EndpointListUpdate(EndpointListKind.FAILED))
         per_second.append(play.subscriptions - before)
     assert max(per_second) <= 3, per_second
     assert sum(per_second[-20:]) >= 5  # it goes on asking: the rule deems it told after a while
@@ -36,22 +37,22 @@
 
 def test_an_unanswered_call_is_repeated_in_time() -> None:
     play = Surrounding(ASKING, seed=5)
-    play.list_of([ServerEntry(b"a")], ListKind.CACHED)
+    play.list_of([Endpoint(b"a")], EndpointListKind.CACHED)
     for _ in range(400):
         play.step(50.0)
     assert 20_000 / 4000.0 <= play.subscriptions <= 20_000 / 2000.0 + 1
 
 
-@pytest.mark.parametrize("must_ask_ms", [200.0, 4000.0, 60_000.0, 3_600_000.0])
+@pytest.mark.parametrize("poll_within_ms", [200.0, 4000.0, 60_000.0, 3_600_000.0])
 @pytest.mark.parametrize("answer_ms", [0.0, 1000.0, None])
 def test_whatever_the_settings_allow_a_second_call_comes_within_6_s(
-    must_ask_ms: float, answer_ms: float | None
+    poll_within_ms: float, answer_ms: float | None
 ) -> None:
     """Each call fails after this time, or brings no word at all; also the first of a new instance."""
-    settings = replace(ASKING, must_ask_ms=must_ask_ms)
+    settings = replace(ASKING, poll_within_ms=poll_within_ms)
     for seed in range(20):
         play = Surrounding(settings, seed=seed)
-        play.list_of([ServerEntry(b"a")], ListKind.CACHED)
+        play.list_of([Endpoint(b"a")], EndpointListKind.CACHED)
         calls: list[float] = []
         failed = 0
         for _ in range(1000):
@@ -59,14 +60,14 @@
             calls += [play.now] * (play.subscriptions - len(calls))
             if answer_ms is not None and failed < len(calls) and play.now >= calls[-1] + answer_ms:
                 failed = len(calls)
-                play.feed(ServerList(ListKind.FAILED))
+                play.feed(EndpointListUpdate(EndpointListKind.FAILED))
         assert calls[0] < 3000.0
         assert max(b - a for a, b in pairwise(calls)) < 3000.0, "two failures leave time for a third call"
 
 
 def test_years_of_failures_do_not_stop_an_instance() -> None:
     play = Surrounding(ASKING, seed=5)
-    play.list_of([ServerEntry(b"a")], ListKind.CACHED)
+    play.list_of([Endpoint(b"a")], EndpointListKind.CACHED)
     for _ in range(3000):
-        play.feed(ServerList(ListKind.FAILED))
-    assert play.balancer._ask_pause() <= 0.5 * ASKING.must_ask_ms
+        play.feed(EndpointListUpdate(EndpointListKind.FAILED))
+    assert play.balancer._ask_pause() <= 0.5 * ASKING.poll_within_ms
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -11,15 +11,15 @@
 
 import pytest
 
-from load_balancer.interface import (
-    Action,
-    Arrival,
+from load_balancer.actions import Action
+from load_balancer.events import (
     AttemptEnded,
+    EndpointListKind,
+    EndpointListUpdate,
     Event,
-    ListKind,
     Outcome,
-    RequestGone,
-    ServerList,
+    RequestAbandoned,
+    RequestArrived,
 )
 from load_balancer.proxy.downstream import MOST_PIPELINED
 from tests.stubs import (
@@ -159,7 +159,7 @@
             caller.writer.write(request("look"))
             await asyncio.wait_for(server.got.wait(), PATIENCE_S)
             caller.close()
-            while not any(isinstance(event, RequestGone) for event in events):
+            while not any(isinstance(event, RequestAbandoned) for event in events):
                 await asyncio.sleep(0)
             server.release.set()
             await asyncio.wait_for(server.left.wait(), PATIENCE_S)
@@ -240,7 +240,7 @@
 
 
 def test_an_event_that_an_action_brings_waits_until_the_module_has_returned() -> None:
-    """A call that ends while its Send is carried out must not reach the module inside a decision."""
+    """A call that ends while its SendAttempt is carried out must not reach the module inside a decision."""
 
     async def main() -> None:
         async with StubServer([reply("200 OK")]) as server, world(row("a", server.address)) as w:
@@ -251,7 +251,7 @@
                 assert not inside, "an event came while the module was deciding"
                 inside, seen = True, seen + 1
                 if seen == 1:
-                    w.node._post(RequestGone(99))
+                    w.node._post(RequestAbandoned(99))
                 actions = handle(event, now)
                 inside = False
                 return actions
@@ -393,7 +393,9 @@
             tell(new, listing(42, reset=False))
             while w.node._discovery._version != 42:
                 await asyncio.sleep(0)
-            assert not [e for e in events if isinstance(e, ServerList) and e.kind is ListKind.FAILED]
+            assert not [
+                e for e in events if isinstance(e, EndpointListUpdate) and e.kind is EndpointListKind.FAILED
+            ]
 
     run(main())
 
@@ -580,7 +582,7 @@
             caller.writer.write(b"".join(request("look") for _ in range(300)))
             assert (await caller.answer()).status == 400
             assert await caller.ended()
-            assert sum(isinstance(event, Arrival) for event in taken) <= MOST_PIPELINED
+            assert sum(isinstance(event, RequestArrived) for event in taken) <= MOST_PIPELINED
             server.release.set()
 
     run(main())
@@ -790,6 +792,6 @@
     async def main() -> None:
         async with world(row("a", f"{HOST}:1")) as w:
             assert {c.name for c in w.node._config.settings.classes} == names
-            assert w.node._config.settings.ask_for_list
+            assert w.node._config.settings.poll_endpoint_list
 
     run(main())
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -18,7 +18,8 @@
 
 import pytest
 
-from load_balancer.interface import Action, Arrival, AttemptEnded, Event, Outcome, TimerFired
+from load_balancer.actions import Action
+from load_balancer.events import AttemptEnded, Event, Outcome, RequestArrived, TimerFired
 from load_balancer.proxy import downstream as callers_module
 from load_balancer.proxy import server as node_module
 from load_balancer.proxy.downstream import PACE_PIPELINED, CallerConnection
@@ -89,7 +90,7 @@
 
 def _budgets(events: list[Event]) -> list[float]:
     """The time that the module is given for each request."""
-    return [event.budget_ms for event in events if isinstance(event, Arrival)]
+    return [event.budget_ms for event in events if isinstance(event, RequestArrived)]
 
 
 def _second_copy(node: Node, number: int, server: bytes) -> None:
@@ -168,7 +169,7 @@
             await until(lambda: not w.node._requests)
             late.release.set()
             await until(lambda: not w.node._servers._opening)
-            assert _outcomes(events) in ([Outcome.MOOT], [Outcome.CANCELLED])
+            assert _outcomes(events) in ([Outcome.NOT_SENT], [Outcome.CANCELLED])
             assert (await (await w.caller()).ask("look", name="next")).status == 200
             assert [got.headers["x-request-id"] for got in server.received] == ["next"]
             assert not w.node._calls and not w.node._held
@@ -262,7 +263,7 @@
     run(main())
 
 
-@pytest.mark.parametrize("outcome", [Outcome.CONNECT_FAILED, Outcome.RESET, Outcome.FULL])
+@pytest.mark.parametrize("outcome", [Outcome.CONNECT_FAILED, Outcome.RESET, Outcome.REJECTED])
 def test_no_further_attempt_begins_in_the_turn_before_the_client_s_end_is_read(outcome: Outcome) -> None:
     """The client's end and the outcome that asks for a retry are both there when the loop turns."""
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -7,49 +7,64 @@
 import pytest
 
 from load_balancer import Balancer
-from load_balancer.interface import (
-    Arrival,
+from load_balancer.actions import FailRequest, RejectRequest, SendAttempt
+from load_balancer.events import (
     AttemptEnded,
-    Effect,
-    Fail,
-    ImpossibleSettings,
-    ListKind,
+    Endpoint,
+    EndpointListKind,
+    EndpointState,
     Outcome,
-    Readiness,
-    Refuse,
-    RepeatGroup,
-    RequestClass,
-    RequestGone,
-    Send,
-    ServerEntry,
-    Settings,
+    RequestAbandoned,
+    RequestArrived,
     TimerFired,
-    UnexpectedEvent,
+    UnexpectedEventError,
 )
+from load_balancer.settings import DeduplicationScope, Idempotency, RequestClass, Settings, SettingsError
 from tests.checker import Surrounding
 
 EFFECTS = [
-    RequestClass("safe", 1000, 3000, effect=Effect.SAFE),
-    RequestClass("unsafe", 1000, 3000, effect=Effect.UNSAFE),
-    RequestClass("all", 1000, 3000, effect=Effect.KEYED, group=RepeatGroup.ALL, window_ms=1500),
-    RequestClass("zone", 1000, 3000, effect=Effect.KEYED, group=RepeatGroup.ZONE, window_ms=1500),
-    RequestClass("cell", 1000, 3000, effect=Effect.KEYED, group=RepeatGroup.CELL, window_ms=400),
+    RequestClass("safe", 1000, 3000, idempotency=Idempotency.IDEMPOTENT),
+    RequestClass("unsafe", 1000, 3000, idempotency=Idempotency.NON_IDEMPOTENT),
+    RequestClass(
+        "all",
+        1000,
+        3000,
+        idempotency=Idempotency.KEYED,
+        deduplication_scope=DeduplicationScope.ALL,
+        deduplication_window_ms=1500,
+    ),
+    RequestClass(
+        "zone",
+        1000,
+        3000,
+        idempotency=Idempotency.KEYED,
+        deduplication_scope=DeduplicationScope.ZONE,
+        deduplication_window_ms=1500,
+    ),
+    RequestClass(
+        "cell",
+        1000,
+        3000,
+        idempotency=Idempotency.KEYED,
+        deduplication_scope=DeduplicationScope.CELL,
+        deduplication_window_ms=400,
+    ),
 ]
 
 
 def make(kind: RequestClass, **more: object) -> Surrounding:
     values: dict[str, object] = {
-        "answer_slack_ms": 20.0,
+        "response_slack_ms": 20.0,
         "tick_ms": 5.0,
-        "may_probe": True,
+        "health_checks_allowed": True,
         "max_attempts": 4,
     }
     values.update(more)
     return Surrounding(Settings(classes=(kind,), **values), seed=3)  # type: ignore[arg-type]
 
 
-def rows(n: int) -> list[ServerEntry]:
-    return [ServerEntry(bytes([i]), zone=i % 2, cell=i // 2) for i in range(n)]
+def rows(n: int) -> list[Endpoint]:
+    return [Endpoint(bytes([i]), zone=i % 2, cell=i // 2) for i in range(n)]
 
 
 @pytest.mark.parametrize("seed", range(12))
@@ -58,19 +73,19 @@
     for stage in (0, 1):
         settings = Settings(
             classes=tuple(EFFECTS),
-            stage=stage,
-            stages=2,
-            answer_slack_ms=20.0,
+            tier_index=stage,
+            tier_count=2,
+            response_slack_ms=20.0,
             tick_ms=5.0,
-            may_duplicate=duplicate,
-            may_probe=True,
-            ask_for_list=bool(seed % 2),
+            hedging_allowed=duplicate,
+            health_checks_allowed=True,
+            poll_endpoint_list=bool(seed % 2),
             max_attempts=2 + seed % 4,
         )
         play = Surrounding(settings, seed)
-        play.list_of(rows(8), ListKind.CACHED)
+        play.list_of(rows(8), EndpointListKind.CACHED)
         play.muddle(1500)
-        assert sum(isinstance(a, Send) for a in play.log) > 100
+        assert sum(isinstance(a, SendAttempt) for a in play.log) > 100
         assert all(owed.done_at is not None for owed in play.owed.values())
 
 
@@ -79,7 +94,7 @@
     play.arrive()
     for _ in range(400):
         play.step(10)
-    assert [type(a) for a in play.log if isinstance(a, Refuse | Fail)] == [Refuse]
+    assert [type(a) for a in play.log if isinstance(a, RejectRequest | FailRequest)] == [RejectRequest]
 
 
 def test_unsafe_request_is_failed_after_a_timeout_and_resent_after_a_proof() -> None:
@@ -89,17 +104,17 @@
     play.end(first, 0, Outcome.CONNECT_FAILED)
     assert len(play.owed[first].attempts) == 2
     play.end(first, 1, Outcome.ERROR)
-    assert isinstance(play.log[-1], Fail) and len(play.owed[first].attempts) == 2
+    assert isinstance(play.log[-1], FailRequest) and len(play.owed[first].attempts) == 2
 
 
-@pytest.mark.parametrize(("index", "answer"), [(2, Refuse), (3, Fail), (4, Fail)])
+@pytest.mark.parametrize(("index", "answer"), [(2, RejectRequest), (3, FailRequest), (4, FailRequest)])
 def test_keyed_request_stays_in_its_group_and_window(index: int, answer: type) -> None:
-    play = make(EFFECTS[index], may_duplicate=False)
+    play = make(EFFECTS[index], hedging_allowed=False)
     play.list_of(rows(6))
     request = play.arrive()
     play.end(request, 0, Outcome.ERROR)
     assert len(play.owed[request].attempts) == 2  # the checker has seen to the group
-    play.now += EFFECTS[index].window_ms
+    play.now += EFFECTS[index].deduplication_window_ms
     play.end(request, 1, Outcome.ERROR)
     assert len(play.owed[request].attempts) == 2
     assert any(isinstance(a, answer) for a in play.log)
@@ -107,7 +122,7 @@
 
 def test_no_second_copy_where_copies_are_forbidden() -> None:
     for duplicate in (False, True):
-        play = make(EFFECTS[0], may_duplicate=duplicate)
+        play = make(EFFECTS[0], hedging_allowed=duplicate)
         play.list_of(rows(4))
         for _ in range(20):
             done = play.arrive()
@@ -125,55 +140,55 @@
 def test_drained_gone_and_unlisted_servers_get_nothing() -> None:
     play = make(EFFECTS[0])
     play.list_of(rows(4))
-    drained = [ServerEntry(bytes([0]), Readiness.DRAINING), ServerEntry(bytes([1]), Readiness.GONE)]
-    play.list_of(drained, ListKind.CHANGES)
+    drained = [Endpoint(bytes([0]), EndpointState.DRAINING), Endpoint(bytes([1]), EndpointState.REMOVED)]
+    play.list_of(drained, EndpointListKind.DELTA)
     for _ in range(40):
         play.end(play.arrive(), 0, Outcome.OK)
-    play.list_of([rows(4)[3]], ListKind.FULL)
+    play.list_of([rows(4)[3]], EndpointListKind.FULL)
     for _ in range(10):
         request = play.arrive()
-        assert play.owed[request].attempts[0].entry.server == bytes([3])
+        assert play.owed[request].attempts[0].entry.id == bytes([3])
         play.end(request, 0, Outcome.OK)
 
 
 def test_a_burst_on_a_fleet_with_a_cold_server_keeps_the_cold_budget() -> None:
-    cold_ms, start_share = 8000.0, 0.3
-    play = make(EFFECTS[0], cold_ms=cold_ms, cold_start_share=start_share, balancers=1)
+    warm_up_ms, start_share = 8000.0, 0.3
+    play = make(EFFECTS[0], warm_up_ms=warm_up_ms, initial_capacity=start_share, node_count=1)
     play.list_of(rows(4))
     sent_cold: list[tuple[float, float]] = []
     warm_per_s = 0.0
     for step in itertools.count():
         if step == 400:  # a warmed-up flow of one call each 5 ms, then one server restarts and calls burst
-            play.list_of([ServerEntry(bytes([0]), started_ms=play.now)], ListKind.CHANGES)
+            play.list_of([Endpoint(bytes([0]), started_ms=play.now)], EndpointListKind.DELTA)
             warm_per_s = 200 / 4
         if step == 800:
             break
         play.now += 5
         for _ in range(3 if step >= 400 else 1):
             request = play.arrive()
-            server = play.owed[request].attempts[0].entry.server
+            server = play.owed[request].attempts[0].entry.id
             if step >= 400 and server == bytes([0]):
                 sent_cold.append((play.now, play.now - play.rows[server].started_ms))
             play.end(request, 0, Outcome.OK)
     assert sent_cold  # it does get its part
     for at, _ in sent_cold:
         window = [age for t, age in sent_cold if at <= t < at + 1000]
-        capacity = start_share + (1 - start_share) * window[0] / cold_ms
+        capacity = start_share + (1 - start_share) * window[0] / warm_up_ms
         # The flow a warm server bore before the burst stands in for what it can do.
         assert len(window) <= 3 * capacity * 3 * warm_per_s
 
 
 def test_unlikely_news_is_ignored_and_impossible_news_is_an_error() -> None:
     balancer = Balancer(Settings(classes=(EFFECTS[0],)), seed=1)
-    assert balancer.handle(RequestGone(77), 1.0) == []
+    assert balancer.handle(RequestAbandoned(77), 1.0) == []
     assert balancer.handle(TimerFired(9), 1.0) == []
-    with pytest.raises(UnexpectedEvent, match="was not out"):
+    with pytest.raises(UnexpectedEventError, match="was not out"):
         balancer.handle(AttemptEnded(5, 0, b"x", Outcome.OK, 1.0, True), 2.0)
-    with pytest.raises(UnexpectedEvent, match="unknown class"):
-        balancer.handle(Arrival(6, 9, 100.0), 2.0)
-    balancer.handle(Arrival(7, 0, 100.0), 2.0)
-    with pytest.raises(UnexpectedEvent, match="twice"):
-        balancer.handle(Arrival(7, 0, 100.0), 2.0)
+    with pytest.raises(UnexpectedEventError, match="unknown class"):
+        balancer.handle(RequestArrived(6, 9, 100.0), 2.0)
+    balancer.handle(RequestArrived(7, 0, 100.0), 2.0)
+    with pytest.raises(UnexpectedEventError, match="twice"):
+        balancer.handle(RequestArrived(7, 0, 100.0), 2.0)
 
 
 def test_identical_events_give_identical_actions() -> None:
@@ -189,12 +204,12 @@
 def test_the_sending_guard_stands_by_itself() -> None:
     """No caller asks for these today; the one path that sends must refuse them all the same."""
     for duplicate in (False, True):
-        play = make(EFFECTS[0], may_duplicate=duplicate, max_attempts=2)
+        play = make(EFFECTS[0], hedging_allowed=duplicate, max_attempts=2)
         play.list_of(rows(3))
         node = play.balancer
         request = node._requests[play.arrive()]
-        other, drained = (s for s in node._arms if s.entry.server != request.attempts[0].entry.server)
-        play.list_of([ServerEntry(drained.entry.server, Readiness.DRAINING)], ListKind.CHANGES)
+        other, drained = (s for s in node._arms if s.entry.id != request.attempts[0].entry.id)
+        play.list_of([Endpoint(drained.entry.id, EndpointState.DRAINING)], EndpointListKind.DELTA)
         assert not node._send(request, drained)
         assert node._send(request, other) is duplicate  # a second copy while the first is out
         assert not duplicate or not node._send(request, other)  # and no more than the attempts allowed
@@ -209,11 +224,11 @@
 
 @pytest.mark.parametrize(
     ("field", "value"),
-    [("classes", ()), ("max_attempts", 0), ("balancers", 0), ("cold_ms", -1.0), ("tick_ms", float("nan"))],
+    [("classes", ()), ("max_attempts", 0), ("node_count", 0), ("warm_up_ms", -1.0), ("tick_ms", float("nan"))],
 )
 def test_impossible_settings_name_the_field(field: str, value: object) -> None:
     values: dict[str, object] = {"classes": (EFFECTS[0],), field: value}
-    with pytest.raises(ImpossibleSettings, match=field):
+    with pytest.raises(SettingsError, match=field):
         Settings(**values)  # type: ignore[arg-type]
-    with pytest.raises(ImpossibleSettings, match="aim_ms"):
+    with pytest.raises(SettingsError, match="latency_objective_ms"):
         RequestClass("x", -5.0, 100.0)
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from load_balancer.interface import Outcome
+from load_balancer.events import Outcome
 from load_balancer.proxy.discovery import Naming
 from load_balancer.proxy.http1 import Message
 from load_balancer.proxy.upstream import Call, Servers
@@ -57,33 +57,42 @@
     ("behaviour", "outcome"),
     [
         (reply("200 OK", b"body"), Outcome.OK),
-        (raw(b"HTTP/1.1 200 OK\r\n\r\nbody", close=True), Outcome.SPOILT),  # it may have been cut off
+        (
+            raw(b"HTTP/1.1 200 OK\r\n\r\nbody", close=True),
+            Outcome.MALFORMED_RESPONSE,
+        ),  # it may have been cut off
         (raw(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"), Outcome.OK),
         (raw(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"), Outcome.OK),
         (reply("500 Internal Server Error"), Outcome.ERROR),
-        (reply("503 Service Unavailable", extra=NOT_RUN), Outcome.FULL),
-        (reply("504 Gateway Timeout", extra=NOT_RUN), Outcome.FULL),
+        (reply("503 Service Unavailable", extra=NOT_RUN), Outcome.REJECTED),
+        (reply("504 Gateway Timeout", extra=NOT_RUN), Outcome.REJECTED),
         (reply("503 Service Unavailable"), Outcome.ERROR),
         (reply("500 Internal Server Error", extra=NOT_RUN), Outcome.ERROR),
-        (reply("404 Not Found"), Outcome.REJECTED),
+        (reply("404 Not Found"), Outcome.CLIENT_ERROR),
         (reset, Outcome.RESET),
         (raw(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", close=True), Outcome.RESET),
         (
             raw(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n", close=True),
             Outcome.RESET,
         ),
-        (raw(b"nonsense\r\n\r\n"), Outcome.SPOILT),
-        (reply("200 OK", b"x" * 65537), Outcome.SPOILT),
-        (raw(b"HTTP/1.1 200 OK\r\nX: " + b"x" * 20000), Outcome.SPOILT),
-        (raw(b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nbody"), Outcome.SPOILT),
-        (raw(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nbody"), Outcome.SPOILT),
-        (raw(b"HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\nbody"), Outcome.SPOILT),
-        (raw(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nbody", close=True), Outcome.SPOILT),
+        (raw(b"nonsense\r\n\r\n"), Outcome.MALFORMED_RESPONSE),
+        (reply("200 OK", b"x" * 65537), Outcome.MALFORMED_RESPONSE),
+        (raw(b"HTTP/1.1 200 OK\r\nX: " + b"x" * 20000), Outcome.MALFORMED_RESPONSE),
+        (raw(b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nbody"), Outcome.MALFORMED_RESPONSE),
+        (
+            raw(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nbody"),
+            Outcome.MALFORMED_RESPONSE,
+        ),
+        (raw(b"HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\nbody"), Outcome.MALFORMED_RESPONSE),
+        (
+            raw(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nbody", close=True),
+            Outcome.MALFORMED_RESPONSE,
+        ),
         (
             raw(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
-            Outcome.SPOILT,
+            Outcome.MALFORMED_RESPONSE,
         ),
-        (raw(b"HTTP/1.1 103 Early\r\nX: " + b"x" * 9000 + b"\r\n\r\n", times=2), Outcome.SPOILT),
+        (raw(b"HTTP/1.1 103 Early\r\nX: " + b"x" * 9000 + b"\r\n\r\n", times=2), Outcome.MALFORMED_RESPONSE),
         (raw(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX-Load: {\xff]\r\n\r\nbody"), Outcome.OK),
     ],
 )
@@ -227,7 +236,7 @@
         async with StubServer([reply("200 OK")]) as server, attempts(server.address) as a:
             _, future = a.begin()
             a.servers.update(Naming((), ()).read(listing(2, row("a", server.address, "DRAINING"))))
-            assert await future == (Outcome.MOOT, b"")
+            assert await future == (Outcome.NOT_SENT, b"")
             await asyncio.wait_for(server.left.wait(), PATIENCE_S)
             assert not server.received
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -9,31 +9,32 @@
 
 import pytest
 
-from load_balancer.interface import (
+from load_balancer.actions import (
     Action,
-    AnswerStarted,
-    Arrival,
+    CancelAttempt,
+    CheckHealth,
+    CloseIdleConnections,
+    FailRequest,
+    LogEvent,
+    PollEndpointList,
+    RejectRequest,
+    SendAttempt,
+    SetTimer,
+)
+from load_balancer.events import (
     AttemptEnded,
-    Cancel,
-    CloseIdle,
-    Effect,
-    Fail,
-    ListKind,
-    Log,
+    EndpointListKind,
+    EndpointListUpdate,
+    EndpointState,
+    HealthCheckEnded,
     Outcome,
     PeerMessage,
-    Probe,
-    ProbeEnded,
-    Readiness,
-    Refuse,
-    RepeatGroup,
-    RequestGone,
-    Send,
-    ServerList,
-    SetTimer,
-    Subscribe,
+    RequestAbandoned,
+    RequestArrived,
+    ResponseStarted,
     TimerFired,
 )
+from load_balancer.settings import DeduplicationScope, Idempotency
 from load_balancer.simulator.adapter import serve
 from load_balancer.simulator.codec import (
     Decoder,
@@ -129,13 +130,13 @@
         record(9, struct.pack("<IHH", 3, 2, 4) + b"hi 7"),
         record(10, struct.pack("<I", 3)),
     ) == [
-        (3, Arrival(99, 0, 240.0, 1, 9, 12.0, False, False)),
-        (3, Arrival(100, 0, 240.0, 1, 9, None, True, True)),
+        (3, RequestArrived(99, 0, 240.0, 1, 9, 12.0, False, False)),
+        (3, RequestArrived(100, 0, 240.0, 1, 9, None, True, True)),
         (3, AttemptEnded(99, 1, A, Outcome.OK, 18.5, True, (0.5, 3.0))),
-        (3, AnswerStarted(99, 1, A, 18.5)),
-        (3, RequestGone(99)),
+        (3, ResponseStarted(99, 1, A, 18.5)),
+        (3, RequestAbandoned(99)),
         (3, TimerFired(77)),
-        (3, ProbeEnded(B, Outcome.CONNECT_FAILED, 1.5)),
+        (3, HealthCheckEnded(B, Outcome.CONNECT_FAILED, 1.5)),
         (3, PeerMessage(2, b"hi 7")),
         (3, Stop()),
     ]
@@ -146,12 +147,12 @@
     [
         (200, Outcome.OK),
         (502, Outcome.ERROR),
-        (429, Outcome.FULL),
+        (429, Outcome.REJECTED),
         (408, Outcome.TIMEOUT),
         (521, Outcome.CONNECT_FAILED),
         (520, Outcome.RESET),
         (444, Outcome.CANCELLED),
-        (409, Outcome.MOOT),
+        (409, Outcome.NOT_SENT),
     ],
 )
 def test_every_outcome(code: int, outcome: Outcome) -> None:
@@ -171,13 +172,18 @@
             sync(1, 9, 0),
         )
     ]
-    assert all(isinstance(e, ServerList) for e in events)
-    lists = [e for e in events if isinstance(e, ServerList)]
-    assert [x.kind for x in lists] == [ListKind.CACHED, ListKind.FULL, ListKind.CHANGES, ListKind.FAILED]
-    assert [tuple(r.server for r in x.entries) for x in lists] == [(A,), (B,), (B,), ()]
-    entry = lists[1].entries[0]
-    assert (entry.readiness, entry.capacity_hint, entry.kind, entry.zone, entry.cell, entry.started_ms) == (
-        Readiness.DRAINING,
+    assert all(isinstance(e, EndpointListUpdate) for e in events)
+    lists = [e for e in events if isinstance(e, EndpointListUpdate)]
+    assert [x.kind for x in lists] == [
+        EndpointListKind.CACHED,
+        EndpointListKind.FULL,
+        EndpointListKind.DELTA,
+        EndpointListKind.FAILED,
+    ]
+    assert [tuple(r.id for r in x.endpoints) for x in lists] == [(A,), (B,), (B,), ()]
+    entry = lists[1].endpoints[0]
+    assert (entry.state, entry.weight, entry.machine_type, entry.zone, entry.cell, entry.started_ms) == (
+        EndpointState.DRAINING,
         1.5,
         2,
         1,
@@ -189,14 +195,14 @@
 @pytest.mark.parametrize(
     ("action", "expected"),
     [
-        (Send(0x5D3A91C4, A, 80.0), "41 16000000 03000000 c4913a5d 0a124a07 8b13 0000000000005440"),
-        (Cancel(0x5D3A91C4, 0), "44 0a000000 03000000 c4913a5d 0000"),
-        (CloseIdle(B), "47 0a000000 03000000 0a9011f2 b413"),
-        (Log("two servers known"), "49 17000000 03000000 1100 74776f2073657276657273206b6e6f776e"),
-        (Fail(0x0E6F2B19), "43 08000000 03000000 192b6f0e"),
-        (Refuse(0x0E6F2B19, 250.0), "42 10000000 03000000 192b6f0e 0000000000406f40"),
-        (Probe(B), "46 0a000000 03000000 0a9011f2 b413"),
-        (Subscribe(), "4b 05000000 03000000 01"),
+        (SendAttempt(0x5D3A91C4, A, 80.0), "41 16000000 03000000 c4913a5d 0a124a07 8b13 0000000000005440"),
+        (CancelAttempt(0x5D3A91C4, 0), "44 0a000000 03000000 c4913a5d 0000"),
+        (CloseIdleConnections(B), "47 0a000000 03000000 0a9011f2 b413"),
+        (LogEvent("two servers known"), "49 17000000 03000000 1100 74776f2073657276657273206b6e6f776e"),
+        (FailRequest(0x0E6F2B19), "43 08000000 03000000 192b6f0e"),
+        (RejectRequest(0x0E6F2B19, 250.0), "42 10000000 03000000 192b6f0e 0000000000406f40"),
+        (CheckHealth(B), "46 0a000000 03000000 0a9011f2 b413"),
+        (PollEndpointList(), "4b 05000000 03000000 01"),
         (SetTimer(0x4D, 8413.25), "45 14000000 03000000 4d00000000000000 00000000a06ec040"),
     ],
 )
@@ -209,14 +215,17 @@
     assert fault == bytes.fromhex("4a 18000000 03000000 1200") + b"index out of range"
     assert reply([]) == bytes(8)
     assert reply([fault]) == struct.pack("<II", 1, len(fault)) + fault
-    assert len(encode(3, Log("x" * 100_000))) < 2000
+    assert len(encode(3, LogEvent("x" * 100_000))) < 2000
 
 
 def test_settings_with_unknown_and_absent_keys() -> None:
     settings = parse_settings(setup(new__key="7", familyInfo__passesDeadline="", layers="a,b,c", stage="1"))
-    assert settings.classes[0].effect is Effect.SAFE and settings.classes[0].group is RepeatGroup.ALL
-    assert settings.stages == 3 and settings.stage == 1 and settings.tenants == ()
-    assert settings.max_attempts == 1 and not settings.may_duplicate and not settings.may_probe
+    assert (
+        settings.classes[0].idempotency is Idempotency.IDEMPOTENT
+        and settings.classes[0].deduplication_scope is DeduplicationScope.ALL
+    )
+    assert settings.tier_count == 3 and settings.tier_index == 1 and settings.tenants == ()
+    assert settings.max_attempts == 1 and not settings.hedging_allowed and not settings.health_checks_allowed
 
 
 @pytest.mark.parametrize(
