Log an event name with fields in place of a phrase

Cause: log lines of the policy were phrases that no tool can search, with endpoint ids in hexadecimal. Change: LogEvent holds a name and typed fields; ids that are text are shown as text.

--- a/load_balancer/actions.py
+++ b/load_balancer/actions.py
@@ -9,6 +9,8 @@
 
 from load_balancer.events import EndpointId, RequestId
 
+LogValue = str | int | float | bytes
+
 
 @dataclass(frozen=True, slots=True)
 class SendAttempt:
@@ -71,14 +73,24 @@
 
 @dataclass(frozen=True, slots=True)
 class LogEvent:
-    """An event for the operators' log: its name and its fields in order."""
+    """An event for the operators' log: its name and its fields in order.
+
+    Bytes are endpoint ids and are shown as text where they are printable; fractions have three decimals.
+    """
 
     name: str
-    fields: tuple[tuple[str, str], ...] = ()
+    fields: tuple[tuple[str, LogValue], ...] = ()
 
     def __str__(self) -> str:
         """The event as one line: its name, then key=value pairs."""
-        return " ".join([self.name, *(f"{key}={value}" for key, value in self.fields)])
+        return " ".join([self.name, *(f"{key}={_log_text(value)}" for key, value in self.fields)])
+
+
+def _log_text(value: LogValue) -> str:
+    if isinstance(value, bytes):
+        text = value.decode("ascii", "replace")
+        return text if text.isascii() and text.isprintable() and text else value.hex()
+    return f"{value:.3f}" if isinstance(value, float) else str(value)
 
 
 Action = (
--- a/load_balancer/policy/balancer.py
+++ b/load_balancer/policy/balancer.py
@@ -519,7 +519,7 @@
             self._subscribed = False
             self._asks_failed += 1
             if self._asks_failed == 1:
-                self._actions.append(LogEvent("server list lost: a call failed or the subscription broke"))
+                self._actions.append(LogEvent("endpoint_list_lost"))
             self._plan_ask(self._ask_pause())
             return
         if event.kind is EndpointListKind.CACHED:
@@ -530,7 +530,7 @@
             self._subscribed = True
             if self._asks_failed:
                 self._actions.append(
-                    LogEvent(f"server list found again after {self._asks_failed} failed calls")
+                    LogEvent("endpoint_list_recovered", (("failed_polls", self._asks_failed),))
                 )
                 self._asks_failed = 0
         if event.kind is not EndpointListKind.DELTA:
@@ -1116,8 +1116,14 @@
                 EJECT_LONGEST if unsafe else min(EJECT_LONGEST, EJECT_FIRST * 2.0 ** min(health.strikes, 10))
             )
             pause = part * self._recovery * (0.75 + 0.5 * self._rng.random())
-            text = f"server {server.entry.id.hex()} gets no {kind.name} for {pause:.0f} ms"
-            self._actions.append(LogEvent(f"{text}, fail {health.fail:.2f} against {norm:.2f} of its peers"))
+            fields = (
+                ("endpoint", server.entry.id),
+                ("class", kind.name),
+                ("pause_ms", round(pause)),
+                ("failure_rate", health.fail),
+                ("peer_failure_rate", norm),
+            )
+            self._actions.append(LogEvent("circuit_breaker_opened", fields))
             health.barred_until, health.trial, health.fail = self._now + pause, True, FAIL_STEP
             health.strikes += 1
         return True
@@ -1131,7 +1137,7 @@
         server.fail -= FAIL_STEP * server.fail
         if server.trial:
             server.trial = False
-            self._actions.append(LogEvent(f"server {server.entry.id.hex()} returns after a good trial"))
+            self._actions.append(LogEvent("endpoint_readmitted", (("endpoint", server.entry.id),)))
         elif not server.ejected and server.fail < 0.05:
             server.strikes = 0
 
@@ -1150,8 +1156,13 @@
             and _can_spare(out, len(self._arms))
         ):
             server.ejected, server.trial = True, False
-            text = f"server {server.entry.id.hex()} ejected: {outcome.value}"
-            self._actions.append(LogEvent(f"{text}, fail {server.fail:.2f} against {norm:.2f} of its peers"))
+            fields = (
+                ("endpoint", server.entry.id),
+                ("outcome", outcome.value),
+                ("failure_rate", server.fail),
+                ("peer_failure_rate", norm),
+            )
+            self._actions.append(LogEvent("endpoint_ejected", fields))
             # Idle connections may lead to a dead process; a fresh one proves by failing that nothing ran.
             self._actions.append(CloseIdleConnections(server.entry.id))
             self._schedule_return(server)
@@ -1290,7 +1301,11 @@
         shedding = self._strain > 1.0
         if shedding != self._shedding:
             self._shedding = shedding
-            word = "on" if shedding else "off"
-            text = f"admission limit {word}: {self._limit:.1f} calls, strain {self._strain:.2f}"
-            text += f", mean latency {self._level:.0f} ms, calmest {self._calm:.0f} ms"
-            self._actions.append(LogEvent(text))
+            fields = (
+                ("concurrency_limit", self._limit),
+                ("congestion", self._strain),
+                ("mean_latency_ms", self._level),
+                ("baseline_latency_ms", self._calm),
+            )
+            name = "load_shedding_started" if shedding else "load_shedding_stopped"
+            self._actions.append(LogEvent(name, fields))
