Split the simulator's codec into frames, decoding and encoding

Cause: one module read and wrote the whole wire in one long function of bare record numbers, and its tests repeated their set-ups in one file. Change: codec.py keeps frames, record codes (IntEnum) and WireError with location and problem; decoding.py has one decoder function per record and encoding.py one encoder per action; Host becomes InstanceHost. The tests move to tests/simulator and tests/test_settings_format.py, named after behaviour; settings are checked on read_settings by the key of their SettingsError, and the wire's WireError apart from that.

--- a/load_balancer/simulator/__init__.py
+++ b/load_balancer/simulator/__init__.py
@@ -1,1 +1,1 @@
-"""The host of the policy on the simulator's wire."""
+"""The simulator's wire and the adapter that hosts policy instances on it."""
--- a/load_balancer/simulator/adapter.py
+++ b/load_balancer/simulator/adapter.py
@@ -1,90 +1,93 @@
-"""Hosts many independent instances of the policy on the simulator's wire."""
+"""Hosts independent policy instances on the simulator's wire: batches on standard input, replies on output.
+
+    python -m load_balancer.simulator.adapter
+
+The command ends with exit code 0 at the end of its input, with 2 and one line on standard error for input
+that cannot be read, and with 1 where nobody reads its output any more.
+"""
 
 from __future__ import annotations
 
 import sys
+from collections.abc import Sequence
 from typing import BinaryIO
 
+from load_balancer.actions import Action
 from load_balancer.policy.balancer import Balancer
-from load_balancer.simulator.codec import (
-    BATCH_HEADER,
-    Decoder,
-    Start,
-    Stop,
-    WireError,
-    encode,
-    encode_fault,
-    reply,
-)
+from load_balancer.simulator.codec import Batch, WireError, encode_reply, read_batch, split_records
+from load_balancer.simulator.decoding import Decoder, InstanceEvent, InstanceKilled, InstanceStarted
+from load_balancer.simulator.encoding import encode_action, encode_fault
 
+EXIT_OK = 0
+EXIT_OUTPUT_CLOSED = 1
+EXIT_BAD_INPUT = 2
 
-class Host:
-    """The instances of one process; they share nothing but the reading of the wire."""
+
+class InstanceHost:
+    """The policy instances of one process, which share the decoder and no state of their own."""
 
     def __init__(self) -> None:
         self._decoder = Decoder()
         self._instances: dict[int, Balancer] = {}
 
-    def answer(self, body: bytes, count: int, now: float) -> bytes:
-        """The reply to one batch."""
-        out: list[bytes] = []
-        for node, event in self._decoder.records(body, count):
-            if isinstance(event, Stop):
-                self._instances.pop(node, None)
-                continue
-            try:
-                if isinstance(event, Start):
-                    self._instances[node] = Balancer(event.settings, event.seed)
-                    continue
-                instance = self._instances.get(node)
-                if instance is None:
-                    raise WireError(f"an event for instance {node}, which has not started")
-                actions = instance.handle(event, now)
-            except WireError:
-                raise
-            except Exception as error:  # an instance's fault is reported on the wire, never swallowed
-                out.append(encode_fault(node, f"{type(error).__name__}: {error}"))
-                continue
-            out.extend(encode(node, action) for action in actions)
-        return reply(out)
-
-
-def _read(source: BinaryIO, size: int) -> bytes:
-    parts: list[bytes] = []
-    left = size
-    while left:
-        part = source.read(left)
-        if not part:
-            break
-        parts.append(part)
-        left -= len(part)
-    return b"".join(parts)
+    def answer(self, batch: Batch) -> bytes:
+        """The reply frame to one batch.
+
+        Raises:
+            WireError: a record cannot be read, or is for an instance that has not started.
+        """
+        replies: list[bytes] = []
+        for code, fields in split_records(batch):
+            record = self._decoder.decode(code, fields)
+            if record is not None:
+                instance_id, event = record
+                replies.extend(self._encoded_actions(instance_id, event, batch.now_ms))
+        return encode_reply(replies)
+
+    def _encoded_actions(self, instance_id: int, event: InstanceEvent, now_ms: float) -> list[bytes]:
+        try:
+            actions = self._apply(instance_id, event, now_ms)
+        except WireError:
+            raise
+        except Exception as error:  # reported on the wire, so that the other instances go on
+            return [encode_fault(instance_id, f"{type(error).__name__}: {error}")]
+        return [encode_action(instance_id, action) for action in actions]
+
+    def _apply(self, instance_id: int, event: InstanceEvent, now_ms: float) -> Sequence[Action]:
+        if isinstance(event, InstanceStarted):
+            self._instances[instance_id] = Balancer(event.settings, event.seed)
+            return ()
+        if isinstance(event, InstanceKilled):
+            self._instances.pop(instance_id, None)
+            return ()
+        instance = self._instances.get(instance_id)
+        if instance is None:
+            raise WireError(f"instance {instance_id}", "an event came for it before its start")
+        return instance.handle(event, now_ms)
 
 
 def serve(source: BinaryIO, sink: BinaryIO) -> None:
-    """Answer batches until the input ends."""
-    host = Host()
-    while header := _read(source, BATCH_HEADER.size):
-        if len(header) < BATCH_HEADER.size:
-            raise WireError("the input ends inside a header")
-        length, now, count = BATCH_HEADER.unpack(header)
-        body = _read(source, length)
-        if len(body) < length:
-            raise WireError("the input ends inside a batch")
-        sink.write(host.answer(body, count, now))
+    """Answer batches until the input ends; each reply is flushed, as the next batch waits for it.
+
+    Raises:
+        WireError: the input cannot be read.
+    """
+    host = InstanceHost()
+    while (batch := read_batch(source)) is not None:
+        sink.write(host.answer(batch))
         sink.flush()
 
 
 def main() -> int:
-    """Exit code 0 at the end of input, 2 with one plain line on standard error for bad input."""
+    """Serve standard input and output; the exit code."""
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
     except WireError as error:
         print(f"load_balancer.simulator.adapter: {error}", file=sys.stderr)
-        return 2
+        return EXIT_BAD_INPUT
     except BrokenPipeError:
-        return 1
-    return 0
+        return EXIT_OUTPUT_CLOSED
+    return EXIT_OK
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tests/simulator/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the simulator's wire and of the adapter on it."""
--- /dev/null
+++ b/tests/simulator/frames.py
@@ -0,0 +1,109 @@
+"""Frames of the simulator's wire for tests, packed and read without the package's codec."""
+
+from __future__ import annotations
+
+import struct
+from typing import NamedTuple
+
+ENDPOINT_A = bytes.fromhex("0a124a078b13")
+ENDPOINT_B = bytes.fromhex("0a9011f2b413")
+SEED = 5
+
+ENLIST, SYNC, ARRIVAL, FIRST, SETTLED, VANISHED, FIRED, PING_RESULT, DATAGRAM, POWER_OFF, TABLE = range(1, 12)
+FORWARD, BUG = 65, 74
+DELTA, CACHED, FULL, FAILED = 1, 2, 3, 0
+READY, DRAINING = 1, 2
+
+REQUIRED_SETTINGS = {
+    "profiles.count": "1",
+    "profiles.0.aimMs": "1000.0",
+    "profiles.0.deadlineMs": "3000.0",
+    "profiles.0.effect": "safe",
+}
+
+
+class SentRecord(NamedTuple):
+    """A record of a reply: its code, and its fields as bytes."""
+
+    code: int
+    fields: bytes
+
+
+def settings_values(changes: dict[str, str | None] | None = None) -> dict[str, str]:
+    """The required settings with these changes; None leaves a setting out."""
+    values = {**REQUIRED_SETTINGS, **(changes or {})}
+    return {path: value for path, value in values.items() if value is not None}
+
+
+def settings_text(changes: dict[str, str | None] | None = None) -> str:
+    """The required settings with these changes as the wire's path=value lines."""
+    return "\n".join(f"{path}={value}" for path, value in settings_values(changes).items())
+
+
+def record(code: int, fields: bytes) -> bytes:
+    """A record with its header."""
+    return struct.pack("<BI", code, len(fields)) + fields
+
+
+def batch(*records: bytes, now_ms: float = 241.004) -> bytes:
+    """A batch frame of these records."""
+    body = b"".join(records)
+    return struct.pack("<IdI", len(body), now_ms, len(records)) + body
+
+
+def enlist(instance_id: int, text: str | None = None) -> bytes:
+    """The start of an instance, by default with the required settings."""
+    raw = (settings_text() if text is None else text).encode()
+    return record(ENLIST, struct.pack("<IQI", instance_id, SEED, len(raw)) + raw)
+
+
+def power_off(instance_id: int) -> bytes:
+    """The end of an instance."""
+    return record(POWER_OFF, struct.pack("<I", instance_id))
+
+
+def table(number: int, *rows: bytes) -> bytes:
+    """A numbered table of endpoint rows."""
+    return record(TABLE, struct.pack("<II", number, len(rows)) + b"".join(rows))
+
+
+def row(endpoint_id: bytes, state: int = READY, started_ms: float = 0.0) -> bytes:
+    """An endpoint row with weight 1.5, machine type 2, zone 1 and cell 7."""
+    return struct.pack("<fH6sBHBd", 1.5, 2, endpoint_id, 1, 7, state, started_ms)
+
+
+def sync(instance_id: int, table_number: int, mode: int) -> bytes:
+    """An endpoint list update of version 41 that refers to a table."""
+    return record(SYNC, struct.pack("<IIIB", instance_id, 41, table_number, mode))
+
+
+def arrival(instance_id: int, request_id: int, marks: int = 1) -> bytes:
+    """A request of class 0 and tenant 1 with key 9, 240 ms left and a cost hint of 12 ms."""
+    fields = struct.pack("<IIHHQddH", instance_id, request_id, 0, 1, 9, 240.0, 12.0, marks)
+    return record(ARRIVAL, fields)
+
+
+def settled(instance_id: int, request_id: int, status: int, *, complete: bool = False) -> bytes:
+    """The end of attempt 0 of a request at endpoint A after 1 ms, without a load report."""
+    fields = struct.pack("<IIH6sHdBB", instance_id, request_id, 0, ENDPOINT_A, status, 1.0, complete, 0)
+    return record(SETTLED, fields)
+
+
+def read_replies(output: bytes) -> list[list[SentRecord]]:
+    """The records of each reply frame; fails where a header does not fit the bytes."""
+    replies: list[list[SentRecord]] = []
+    position = 0
+    while position < len(output):
+        count, size = struct.unpack_from("<II", output, position)
+        position += 8
+        end = position + size
+        records: list[SentRecord] = []
+        while position < end:
+            code, length = struct.unpack_from("<BI", output, position)
+            fields_start = position + 5
+            position = fields_start + length
+            records.append(SentRecord(code, output[fields_start:position]))
+        assert position == end
+        assert len(records) == count
+        replies.append(records)
+    return replies
--- /dev/null
+++ b/tests/simulator/test_adapter.py
@@ -0,0 +1,103 @@
+"""The adapter: independent instances on one wire, and the command at the edges of its input."""
+
+from __future__ import annotations
+
+import struct
+import subprocess
+import sys
+from io import BytesIO
+
+import pytest
+
+from load_balancer.simulator.adapter import serve
+from tests.simulator.frames import (
+    BUG,
+    CACHED,
+    ENDPOINT_A,
+    ENDPOINT_B,
+    FORWARD,
+    VANISHED,
+    SentRecord,
+    arrival,
+    batch,
+    enlist,
+    power_off,
+    read_replies,
+    record,
+    row,
+    settings_text,
+    settled,
+    sync,
+    table,
+)
+
+ADAPTER_MODULE = "load_balancer.simulator.adapter"
+
+
+def serve_batches(*batches: bytes) -> list[list[SentRecord]]:
+    """The replies of an adapter in this process to these batches."""
+    sink = BytesIO()
+    serve(BytesIO(b"".join(batches)), sink)
+    return read_replies(sink.getvalue())
+
+
+def run_adapter(raw: bytes) -> subprocess.CompletedProcess[bytes]:
+    """The adapter's command, run to its end on this input."""
+    command = [sys.executable, "-m", ADAPTER_MODULE]
+    return subprocess.run(command, input=raw, capture_output=True, check=False)
+
+
+def test_empty_batch_is_answered_by_an_empty_reply() -> None:
+    assert serve_batches(batch()) == [[]]
+
+
+def test_instance_that_is_killed_and_started_again_in_one_batch_forgets_its_endpoints() -> None:
+    first, second = serve_batches(
+        batch(enlist(4), table(0, row(ENDPOINT_A)), sync(4, 0, CACHED), arrival(4, 1)),
+        batch(power_off(4), enlist(4), table(1, row(ENDPOINT_B)), sync(4, 1, CACHED), arrival(4, 2)),
+    )
+    sent_to = [[fields[8:14] for code, fields in reply if code == FORWARD] for reply in (first, second)]
+    assert sent_to == [[ENDPOINT_A], [ENDPOINT_B]]
+
+
+def test_fault_of_one_instance_is_reported_and_the_others_go_on() -> None:
+    start = (enlist(4), enlist(5), table(0, row(ENDPOINT_A)), sync(4, 0, CACHED), sync(5, 0, CACHED))
+    attempt_never_sent = settled(4, 55, 200, complete=True)
+    (reply,) = serve_batches(batch(*start, attempt_never_sent, arrival(5, 7)))
+    assert [code for code, _ in reply if code in (BUG, FORWARD)] == [BUG, FORWARD]
+    assert b"attempt 0 of request 55 was not out" in next(fields for code, fields in reply if code == BUG)
+
+
+def test_batch_of_thousands_of_arrivals_is_answered() -> None:
+    start = batch(enlist(4), table(0, row(ENDPOINT_A), row(ENDPOINT_B)), sync(4, 0, CACHED))
+    _, reply = serve_batches(start, batch(*(arrival(4, request_id) for request_id in range(1, 3001))))
+    assert any(code == FORWARD for code, _ in reply)
+
+
+def test_command_ends_with_exit_code_0_at_the_end_of_input() -> None:
+    done = run_adapter(batch())
+    assert (done.returncode, done.stdout, done.stderr) == (0, bytes(8), b"")
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        pytest.param(b"\x01\x02\x03", id="header cut short"),
+        pytest.param(batch(arrival(4, 1))[:-3], id="body cut short"),
+        pytest.param(struct.pack("<IdI", 0, 1.0, 1), id="fewer records than announced"),
+        pytest.param(batch(record(99, b"")), id="unknown record code"),
+        pytest.param(batch(record(VANISHED, b"\x01")), id="fields cut short"),
+        pytest.param(batch(settled(4, 5, 777, complete=True)), id="unknown status"),
+        pytest.param(batch(sync(4, 3, CACHED)), id="unknown table"),
+        pytest.param(batch(arrival(4, 1)), id="instance not started"),
+        pytest.param(batch(enlist(4, settings_text({"profiles.count": "0"}))), id="unusable settings"),
+        pytest.param(batch(enlist(4)) + b"\x00", id="surplus byte"),
+    ],
+)
+def test_malformed_input_ends_the_command_with_exit_code_2_and_one_line(raw: bytes) -> None:
+    done = run_adapter(raw)
+    text = done.stderr.decode()
+    assert done.returncode == 2
+    assert text.startswith(f"{ADAPTER_MODULE}: ")
+    assert text.count("\n") == 1
+    assert "Traceback" not in text
