Describe settings, events and actions in the field's standard terms

Cause: docstrings of the shared types still used figures of speech for rejections, retries and polling. Change: the docstrings say what a value is, its unit and what it is relative to; the look-ups of settings_format.py take a minimum instead of a least. No public type or field changes its name.

--- a/load_balancer/actions.py
+++ b/load_balancer/actions.py
@@ -14,7 +14,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SendAttempt:
-    """Start the request's next attempt; a timeout_ms of 0 waits until the client gives up."""
+    """Start the request's next attempt; a timeout_ms of 0 waits until the client's deadline."""
 
     request_id: RequestId
     endpoint_id: EndpointId
@@ -23,7 +23,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RejectRequest:
-    """Final answer: not served, and trying again is harmless; retry_after_ms 0 says nothing of when."""
+    """Final answer: not served, and a retry is harmless; a retry_after_ms of 0 gives no Retry-After."""
 
     request_id: RequestId
     retry_after_ms: float = 0.0
@@ -31,14 +31,14 @@
 
 @dataclass(frozen=True, slots=True)
 class FailRequest:
-    """Final answer: not served, and the request may have run."""
+    """Final answer: not served, and the request may have been executed."""
 
     request_id: RequestId
 
 
 @dataclass(frozen=True, slots=True)
 class CancelAttempt:
-    """Stop waiting for an attempt; attempts are numbered from 0 for each request."""
+    """Cancel an attempt; the attempts of a request are numbered from 0."""
 
     request_id: RequestId
     attempt_number: int
@@ -46,7 +46,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SetTimer:
-    """Ask for a TimerFired with this token at or after at_ms."""
+    """Request a TimerFired with this token at or after at_ms; timers cannot be withdrawn."""
 
     token: int
     at_ms: float
@@ -54,7 +54,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CheckHealth:
-    """Ask an endpoint for its health; answered by a HealthCheckEnded."""
+    """Start a health check of an endpoint; answered by a HealthCheckEnded."""
 
     endpoint_id: EndpointId
 
@@ -68,14 +68,15 @@
 
 @dataclass(frozen=True, slots=True)
 class PollEndpointList:
-    """Ask discovery for the endpoint list; answered by an EndpointListUpdate."""
+    """Poll discovery for the endpoint list; answered by an EndpointListUpdate."""
 
 
 @dataclass(frozen=True, slots=True)
 class LogEvent:
-    """An event for the operators' log: its name and its fields in order.
+    """A log line: the name of an event, in snake_case, and its fields in order.
 
-    Bytes are endpoint ids and are shown as text where they are printable; fractions have three decimals.
+    Bytes are endpoint ids, shown as text where they are printable and else in hexadecimal; floats have three
+    decimals.
     """
 
     name: str
--- a/load_balancer/events.py
+++ b/load_balancer/events.py
@@ -14,7 +14,7 @@
 
 
 class UnexpectedEventError(ValueError):
-    """An event that cannot be true: it names a request, attempt or class that never existed."""
+    """An event that names a request, attempt or class that never existed: the host has a fault."""
 
 
 class EndpointState(Enum):
@@ -35,10 +35,10 @@
     """The endpoints that changed since the last list."""
 
     CACHED = 2
-    """The whole list as it was last known, which may be old."""
+    """The complete list as it was last cached, which may be stale."""
 
     FULL = 3
-    """The whole list."""
+    """The complete list."""
 
 
 class Outcome(Enum):
@@ -47,24 +47,24 @@
     OK = "ok"
     ERROR = "error"
     REJECTED = "rejected"
-    """The server turned the request away without running it."""
+    """The server rejected the request without executing it."""
 
     TIMEOUT = "timeout"
     CONNECT_FAILED = "connect_failed"
     RESET = "reset"
     CANCELLED = "cancelled"
     NOT_SENT = "not_sent"
-    """The attempt was given up before it was written to a server."""
+    """The attempt was abandoned before any of it was written to a server."""
 
     MALFORMED_RESPONSE = "malformed_response"
-    """What came back was no response: the request may have run, and little is known of its server."""
+    """The answer was no valid response: the request may have run, and little can be said of its server."""
 
     CLIENT_ERROR = "client_error"
-    """The server found fault with the request itself: sending it again is of no use."""
+    """The server found the request itself invalid: a retry would fail the same way."""
 
 
 NOT_EXECUTED = frozenset({Outcome.REJECTED, Outcome.CONNECT_FAILED, Outcome.NOT_SENT})
-"""The outcomes that prove that an attempt never ran."""
+"""The outcomes that prove that an attempt was never executed."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,11 +74,11 @@
     Attributes:
         id: the server's identity, the same at all nodes and over its restarts.
         state: its lifecycle state.
-        weight: its capacity compared with others, as listed.
+        weight: its capacity relative to other endpoints, as listed.
         machine_type: its kind of machine, by position in the settings.
         zone: its zone, by position in the settings.
-        cell: the group of servers that it shares idempotency keys with.
-        started_ms: when its process started; 0 for long ago.
+        cell: the group of servers with which it shares the idempotency keys it has seen.
+        started_ms: when its process last started; 0 where that was long ago.
     """
 
     id: EndpointId
@@ -92,7 +92,7 @@
 
 @dataclass(frozen=True, slots=True)
 class EndpointListUpdate:
-    """A change of the endpoint list; an endpoint absent from a whole list is gone."""
+    """A change of the endpoint list; an endpoint absent from a complete list has been removed."""
 
     kind: EndpointListKind
     endpoints: tuple[Endpoint, ...] = ()
@@ -101,17 +101,17 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestArrived:
-    """A client's request, which is owed one final answer within budget_ms.
+    """A client's request, which must get one final answer within budget_ms.
 
     Attributes:
         request_id: the host's number for it, never used twice.
         class_index: its class, by position in the settings.
-        budget_ms: the time left for an answer.
+        budget_ms: the time left until its deadline.
         tenant: its tenant, by position in the settings.
-        key: a hash of the item that it is about, 0 for none.
+        key: a hash of the item that it concerns, 0 for none.
         cost_hint_ms: the client's estimate of its work.
-        is_retry: the client says that it sent the request before.
-        is_write: the request changes the item.
+        is_retry: the client marked it as a retry of an earlier request.
+        is_write: it changes the item.
     """
 
     request_id: RequestId
@@ -126,7 +126,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ResponseStarted:
-    """A streamed response has begun; the attempt now belongs to the client."""
+    """A streamed response has begun: its attempt has no timeout any more, and the request no deadline."""
 
     request_id: RequestId
     attempt_number: int
@@ -136,7 +136,7 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptEnded:
-    """The one outcome of an attempt; finished says that the request needs no further answer."""
+    """The one outcome of an attempt; finished where the request needs no further answer."""
 
     request_id: RequestId
     attempt_number: int
@@ -149,7 +149,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestAbandoned:
-    """The client left, or its time is over; no answer is owed."""
+    """The client disconnected, or its deadline passed; no final answer is required any more."""
 
     request_id: RequestId
 
@@ -166,14 +166,14 @@
 
 @dataclass(frozen=True, slots=True)
 class TimerFired:
-    """A timer that SetTimer asked for is due."""
+    """A timer that SetTimer requested is due."""
 
     token: int
 
 
 @dataclass(frozen=True, slots=True)
 class PeerMessage:
-    """A message from another node of the tier; the policy makes no use of these."""
+    """A gossip message from another node of the tier; the policy does not use these."""
 
     sender: int
     body: bytes
--- a/load_balancer/settings.py
+++ b/load_balancer/settings.py
@@ -1,8 +1,8 @@
 """The typed settings of one node, and the errors that name a setting at fault.
 
 Durations are in milliseconds, rates in units a second and capacities in fractions of a warm server, unless a
-field says otherwise.  How the settings are named in a configuration file or on the simulator's wire is known
-to ``load_balancer.settings_format`` only.
+field says otherwise.  Only ``load_balancer.settings_format`` refers to the names that the settings have in a
+configuration file or on the simulator's wire.
 """
 
 from __future__ import annotations
@@ -13,7 +13,7 @@
 
 
 class SettingsError(ValueError):
-    """A setting that is missing, cannot be read or cannot be meant.
+    """A setting that is missing, cannot be read or is out of its range.
 
     Attributes:
         key: the setting's name: a field here, a documented path where it was read.
@@ -49,7 +49,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestClass:
-    """A class of requests and what an answer to it is worth.
+    """A class of requests: its latency objective, deadline, priority and idempotency.
 
     Attributes:
         name: the class as requests name it.
@@ -58,10 +58,10 @@
         priority_weight: the value of an answer within the objective.
         late_weight: the fraction of that value which a later answer has.
         idempotency: what a second execution would do.
-        deduplication_scope: the servers that drop a repeat of the same key.
-        deduplication_window_ms: how long they remember a key.
-        streaming: answers are passed on while they arrive.
-        latency_objective_stretch: how far the objective grows with the work of a request.
+        deduplication_scope: the servers that discard a repeat of the same key.
+        deduplication_window_ms: how long they remember a key, from the first attempt that may have run.
+        streaming: responses are forwarded while they arrive.
+        latency_objective_stretch: the objective grows by this multiple of the request's own work.
     """
 
     name: str
@@ -90,12 +90,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Tenant:
-    """One of those who share the service.
+    """One of the clients' organisations that share the service.
 
     Attributes:
         name: the tenant as requests name it.
-        fraction: its part of the capacity.
-        quota_per_s: requests a second within its quota, over all nodes of the first tier.
+        fraction: its share of the capacity.
+        quota_per_s: its quota in requests per second, over all nodes of the first tier.
     """
 
     name: str
@@ -105,38 +105,38 @@
 
 @dataclass(frozen=True, slots=True)
 class Settings:
-    """What a node is told at its start.
+    """The settings that a node starts with.
 
     Attributes:
         classes: the classes of requests; events name them by position.
         tenants: the tenants; events name them by position.
         node_count: nodes of this tier.
         node_index: this node's position among them.
-        tier_index: the tier that this node sends to, 0 for the first.
+        tier_index: the tier that this node forwards to, 0 for the first.
         tier_count: the number of tiers.
         zone: this node's zone.
         zone_count: the number of zones.
         max_attempts: attempts that one request may have.
-        hedging_allowed: a second attempt may start while the first is out.
+        hedging_allowed: a second attempt may start while the first is in flight.
         cancel_allowed: an attempt may be cancelled.
-        health_checks_allowed: endpoints may be asked for their health.
-        retry_after_allowed: a rejection may say when to come back.
-        max_retry_after_ms: the longest such time.
-        priority_by_work: the value of an answer grows with the work of its request.
-        over_quota_weight: the fraction of the value that a request beyond its tenant's quota has.
-        poll_endpoint_list: the endpoint list is polled for; otherwise it is pushed.
+        health_checks_allowed: endpoints may be health-checked.
+        retry_after_allowed: a rejection may carry a Retry-After.
+        max_retry_after_ms: the longest Retry-After that clients observe.
+        priority_by_work: the priority of a request grows with its work.
+        over_quota_weight: the fraction of its priority weight that a request beyond its tenant's quota keeps.
+        poll_endpoint_list: the node polls for the endpoint list; otherwise changes are pushed.
         poll_within_ms: the longest time between two polls.
-        use_endpoint_weights: the weights in the endpoint list are to be used.
-        propagates_deadline: a request carries the time that its caller has left.
-        response_slack_ms: how late after its deadline an answer still counts as given.
-        drain_grace_ms: how long after a notified drain an attempt may still be sent.
-        initial_capacity: the capacity of a server that has just started.
-        warm_up_ms: how long it takes to reach its full capacity.
-        overload_multiple: a warming server fails when sent this many times its capacity.
-        overload_window_ms: the time over which that is counted.
+        use_endpoint_weights: the weights in the endpoint list are meaningful.
+        propagates_deadline: a request to the next tier carries the time left of the one that caused it.
+        response_slack_ms: how long after its deadline a final answer still counts.
+        drain_grace_ms: how long after the node was notified of a drain an attempt may still be sent.
+        initial_capacity: the capacity of a server that has just started, as a fraction of its full one.
+        warm_up_ms: the longest time until a started server has its full capacity.
+        overload_multiple: a server that warms up fails when sent more than this multiple of its capacity.
+        overload_window_ms: the time over which that load is measured.
         connect_timeout_ms: how long a connection may take to be established.
-        tick_ms: the resolution at which a host handles events.
-        cross_zone_cost: the cost of a request that crosses zones, 0 for none.
+        tick_ms: the shortest time between two batches of events of a host.
+        cross_zone_cost: the relative cost of an attempt in another zone, 0 for none.
         load_report_fields: the fields of a load report, in order.
     """
 
--- a/load_balancer/settings_format.py
+++ b/load_balancer/settings_format.py
@@ -1,7 +1,7 @@
 """Reads typed settings from the documented path to value pairs.
 
-The simulator's wire and a node's configuration file carry the same settings, so both are read here, and only
-here are the documented names known.
+The simulator's wire and a node's configuration file carry the same settings, so both are read here; the
+rest of the package knows settings by the names of their fields.
 """
 
 from __future__ import annotations
@@ -31,20 +31,20 @@
 
 
 class SettingsReader:
-    """Typed, checked look-ups in path to value pairs; SettingsError names the path."""
+    """Typed, checked look-ups in path to value pairs; every SettingsError names the path."""
 
     def __init__(self, values: Mapping[str, str]) -> None:
         self._values = values
 
     def text(self, path: str, default: str | None = None) -> str:
-        """The value as it stands; required where there is no default."""
+        """The text of a value; SettingsError where it is absent and there is no default."""
         value = self._values.get(path, default)
         if value is None:
             raise SettingsError(path, "is missing")
         return value
 
-    def number(self, path: str, default: float | None = None, least: float = 0.0) -> float:
-        """A finite number of at least so much; an empty value counts as none."""
+    def number(self, path: str, default: float | None = None, minimum: float = 0.0) -> float:
+        """A finite number not below the minimum; an empty value counts as absent."""
         text = self._values.get(path, "")
         if text == "":
             if default is None:
@@ -54,19 +54,19 @@
             value = float(text)
         except ValueError:
             raise SettingsError(path, f"is not a number: {text!r}") from None
-        if not least <= value < math.inf:
+        if not minimum <= value < math.inf:
             raise SettingsError(path, f"is out of range: {text}")
         return value
 
-    def integer(self, path: str, default: int | None = None, least: int = 0) -> int:
-        """A whole number of at least so much."""
-        value = self.number(path, default, least)
+    def integer(self, path: str, default: int | None = None, minimum: int = 0) -> int:
+        """A whole number not below the minimum; an empty value counts as absent."""
+        value = self.number(path, default, minimum)
         if value != int(value):
             raise SettingsError(path, f"is not a whole number: {value}")
         return int(value)
 
     def flag(self, path: str, default: bool) -> bool:
-        """True or false; an empty value counts as none."""
+        """The text true or false as a bool; an empty value counts as absent."""
         text = self._values.get(path, "")
         if text == "":
             return default
@@ -75,12 +75,12 @@
         return text == "true"
 
     def names(self, path: str) -> tuple[str, ...]:
-        """The items of a list of plain values."""
+        """The items of a list of plain values; none where it is absent or empty."""
         text = self._values.get(path, "")
         return tuple(text.split(",")) if text else ()
 
     def member(self, path: str, enum: type[EnumType], default: str | None = None) -> EnumType:
-        """The member of an enum that has this value."""
+        """The member of an enum with this value; SettingsError where there is none."""
         text = self.text(path, default)
         try:
             return enum(text)
@@ -95,7 +95,7 @@
         SettingsError: a value is missing, cannot be read or is out of its range.
     """
     reader = SettingsReader(values)
-    class_count = reader.integer("profiles.count", least=1)
+    class_count = reader.integer("profiles.count", minimum=1)
     tenant_count = reader.integer("tenants.count", 0)
     return Settings(
         classes=tuple(_read_class(reader, f"profiles.{i}") for i in range(class_count)),
@@ -136,8 +136,8 @@
     window_default = None if idempotency is Idempotency.KEYED else 0.0
     return RequestClass(
         name=reader.text(f"{path}.name", ""),
-        latency_objective_ms=reader.number(f"{path}.aimMs", least=SMALLEST_DURATION_MS),
-        deadline_ms=reader.number(f"{path}.deadlineMs", least=SMALLEST_DURATION_MS),
+        latency_objective_ms=reader.number(f"{path}.aimMs", minimum=SMALLEST_DURATION_MS),
+        deadline_ms=reader.number(f"{path}.deadlineMs", minimum=SMALLEST_DURATION_MS),
         priority_weight=reader.number(f"{path}.worth", 1.0),
         late_weight=reader.number(f"{path}.lateShare", 0.0),
         idempotency=idempotency,
