--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,5 +2,7 @@
 
 from hypothesis import settings
 
+pytest_plugins = ["tests.known_red"]
+
 settings.register_profile("fixed", derandomize=True, database=None, deadline=None)
 settings.load_profile("fixed")
