Split connections to endpoints into connection, endpoint pool and pools

Cause: one module held requests, connections, idle lists and the endpoint list, and each reached into the others.

--- a/load_balancer/proxy/upstream.py
+++ b/load_balancer/proxy/upstream.py
@@ -1,359 +1,216 @@
-"""The side towards the servers: attempts and probes, one outcome each, and the idle connections between them.
-
-Nothing is ever sent twice here.  Whatever ends after the request was handed to the socket may have run; only
-what ended before that is told as 'could not connect'.
-"""
+"""The pools of connections to all listed endpoints: starts requests and keeps idle connections."""
 
 from __future__ import annotations
 
 import asyncio
 import logging
-import select
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
-from typing import cast
 
-from load_balancer.events import EndpointId, EndpointState, Outcome
+from load_balancer.events import Endpoint, EndpointId, EndpointState, Outcome
 from load_balancer.proxy.discovery import EndpointListing
-from load_balancer.proxy.http1 import NOT_RUN, HttpMessage, HttpMessageError, HttpReader
-from load_balancer.proxy.socket_poll import polls
+from load_balancer.proxy.endpoint_pool import IDLE_TIMEOUT_FRACTION, EndpointPool
+from load_balancer.proxy.upstream_connection import (
+    OutcomeHandler,
+    RequestRenderer,
+    StillWanted,
+    UpstreamConnection,
+    UpstreamRequest,
+)
+
+__all__ = ["UpstreamPools", "UpstreamRequest"]
 
 log = logging.getLogger(__name__)
 
-IDLE_PART = 0.5  # of the time after which servers close: a request must never cross that close
-SWEEP_S = 1.0
-# Servers may close idle connections sooner than they say, and what crosses that close may have run. One that
-# has closed an idle connection, or reset what came on one, is trusted half as long from then on, and after
-# some time as before. A close right behind an answer says nothing: it is seen before the next call.
-TRUST_LEAST_S = 0.05
-TRUST_BACK = 1.03  # for each sweep
-# Surplus that a server sends behind an answer is not to be taken for the next answer.  It may come some
-# milliseconds late: up to 4 ms were seen in two plays of join+brink, and this leaves some room above that.
+REAP_INTERVAL_S = 1.0
+# Surplus that an endpoint sends behind a response must not be taken for the next response.  It may come some
+# milliseconds late: up to 4 ms were measured in two runs with joining and failing endpoints, and this leaves
+# some margin above that.
 REST_S = 0.02
 
-Done = Callable[[Outcome, HttpMessage | None], None]
-Render = Callable[[float], bytes]
-Wanted = Callable[[], bool]  # whether somebody still waits for the call at the moment in which it begins
-
-
-class UpstreamRequest:
-    """One request to a server: an attempt or a probe.  It ends once, with one outcome."""
-
-    __slots__ = ("_done", "_loop", "_timer", "connection", "deadline", "ended", "render", "wanted", "written")
-
-    def __init__(self, render: Render, timeout_s: float, done: Done, wanted: Wanted) -> None:
-        self._loop = asyncio.get_running_loop()
-        self.render = render
-        self.wanted = wanted
-        self.deadline = self._loop.time() + timeout_s
-        self.connection: UpstreamConnection | None = None
-        self.written = False
-        self.ended = False
-        self._done = done
-        self._timer = self._loop.call_later(timeout_s, self._time_out)
-
-    def end(self, outcome: Outcome, answer: HttpMessage | None = None) -> None:
-        """The one outcome; later ones are nobody's."""
-        if self.ended:
-            return
-        self.ended = True
-        self._timer.cancel()
-        self.connection = None
-        self._done(outcome, answer)
-
-    def give_up(self, outcome: Outcome) -> None:
-        """Stop waiting.  The connection goes with the call, so that its late bytes reach no other request."""
-        connection = self.connection
-        if not self.ended and connection is not None:
-            connection.abandon()
-        self.end(outcome)
-
-    def _time_out(self) -> None:
-        self.give_up(Outcome.TIMEOUT if self.written else Outcome.CONNECT_FAILED)
-
-
-class UpstreamConnection(asyncio.Protocol):
-    """One connection to a server; carries one call at a time."""
-
-    def __init__(self, peer: EndpointPool, servers: UpstreamPools) -> None:
-        self.peer = peer
-        self.idle_since = 0.0
-        self._rested = 0.0  # seconds that it had been idle when it was used again
-        self._servers = servers
-        self._call: UpstreamRequest | None = None
-        self._answer: HttpMessage | None = None
-        self._reader = HttpReader(self._on_answer, requests=False)
-        self._transport: asyncio.Transport | None = None
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self._transport = cast(asyncio.Transport, transport)  # uvloop's are no subclass
-        self._servers.opened(self)
-
-    def usable(self) -> bool:
-        return self._transport is not None and not self._transport.is_closing()
-
-    def quiet(self) -> bool:
-        """Whether nothing has come in that was not read yet: neither surplus bytes nor the server's close."""
-        if not self.usable():
-            return False
-        assert self._transport is not None
-        return not polls(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
-
-    def carry(self, call: UpstreamRequest) -> None:
-        """Write the call's request; from here on it may have run."""
-        assert self._transport is not None
-        self._rested = asyncio.get_running_loop().time() - self.idle_since if self.idle_since else 0.0
-        self._call = call
-        call.connection = self
-        call.written = True
-        self._transport.write(call.render(call.deadline - asyncio.get_running_loop().time()))
-
-    def abandon(self) -> None:
-        """Close at once; what still comes in is not read."""
-        self._call = None
-        if self._transport is not None:
-            self._transport.abort()
-
-    def data_received(self, data: bytes) -> None:
-        if self._call is None:
-            self.abandon()  # nothing was asked: what speaks here must not meet the next request
-            return
-        try:
-            self._reader.feed(data)
-        except HttpMessageError as error:
-            log.warning("server %s: %s", self.peer.name, error)
-            self._break(Outcome.MALFORMED_RESPONSE)
-            return
-        if self._answer is not None:
-            self._finish(self._answer)
-
-    def eof_received(self) -> bool:
-        return False
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        self._servers.closed(self)
-        if self._call is not None:
-            self.peer.distrust(self._rested)
-        self._break()
-
-    def _break(self, outcome: Outcome = Outcome.RESET) -> None:
-        call = self._call
-        self.abandon()
-        if call is not None:
-            call.end(outcome)
-
-    def _on_answer(self, message: HttpMessage) -> None:
-        """The first whole message is the answer; the parser may still be inside the same piece of input."""
-        self._reader.stop()
-        self._answer = message
-
-    def _finish(self, answer: HttpMessage) -> None:
-        """Hand on the answer.  A connection that brought more than that must not meet another request."""
-        call, self._call, self._answer = self._call, None, None
-        if answer.keep_alive and self.usable() and not self._reader.surplus:
-            self._reader.resume()
-            self._servers.rest(self)
-        else:
-            self.abandon()
-        if call is not None:
-            call.end(_outcome(answer), answer)
-
-
-def _outcome(message: HttpMessage) -> Outcome:
-    if message.status == 200:
-        return Outcome.OK
-    if message.status in (503, 504) and message.headers.get(NOT_RUN) == b"1":
-        return Outcome.REJECTED
-    if 400 <= message.status < 500:
-        return Outcome.CLIENT_ERROR
-    return Outcome.ERROR
 
-
-@dataclass(slots=True, eq=False)
-class EndpointPool:
-    """A server process as it is listed, and this node's idle connections to it, the latest used last."""
-
-    name: str
-    address: tuple[str, int]
-    started_ms: float
-    trusted_s: float  # how long a connection may have been idle to be used again
-    idle: list[UpstreamConnection] = field(default_factory=list)
-    current: bool = True  # False once drained, gone or restarted: its connections are not kept
-
-    def distrust(self, idle_s: float) -> None:
-        """It ended a connection that had been idle so long."""
-        if idle_s >= TRUST_LEAST_S:
-            self.trusted_s = min(self.trusted_s, IDLE_PART * idle_s)
+def _always_wanted() -> bool:
+    return True
 
 
 class UpstreamPools:
-    """All servers that the list has named, and every open connection to them."""
+    """All endpoints that the endpoint list names, and every open connection to them."""
 
     def __init__(self, *, connect_s: float, idle_s: float, most_open: int) -> None:
+        """Start with no endpoint.
+
+        Args:
+            connect_s: how long a connection may take to come up, in seconds.
+            idle_s: after how many idle seconds endpoints close a connection.
+            most_open: how many connections may be open or opening.
+        """
         self._loop = asyncio.get_running_loop()
         self._connect_s = connect_s
-        self._idle_s = IDLE_PART * idle_s
-        self._most_open = most_open
-        self._peers: dict[EndpointId, EndpointPool] = {}
-        self._at: dict[tuple[str, int], EndpointId] = {}  # who listens there by the list
+        self._max_idle_timeout_s = IDLE_TIMEOUT_FRACTION * idle_s
+        self._max_open = most_open
+        self._pools: dict[EndpointId, EndpointPool] = {}
+        self._endpoint_at: dict[tuple[str, int], EndpointId] = {}  # which endpoint is listed at an address
         self._open: set[UpstreamConnection] = set()
         self._opening: set[asyncio.Task[None]] = set()
-        self._sweeper = self._loop.call_later(SWEEP_S, self._sweep)
+        self._reap_timer = self._loop.call_later(REAP_INTERVAL_S, self._on_reap_timer)
 
-    # What the list says.
+    @property
+    def pools(self) -> tuple[EndpointPool, ...]:
+        """The pools of the endpoints that are listed as serving."""
+        return tuple(self._pools.values())
+
+    @property
+    def open_connections(self) -> tuple[UpstreamConnection, ...]:
+        """All connections that are up, also those to endpoints that are listed no more."""
+        return tuple(self._open)
+
+    def any_listed(self) -> bool:
+        """Whether an endpoint is listed as serving."""
+        return bool(self._pools)
+
+    # The endpoint list.
 
     def update(self, listing: EndpointListing) -> list[EndpointId]:
-        """Follow the list: with another address or start time old connections lead to a dead process.
+        """Follow the endpoint list.
+
+        With another address or start time the old connections lead to a process that has ended.
 
-        Returns the servers whose address is another's now.  What is sent there by the old name would meet
-        the new server, which is cold.
+        Returns:
+            The endpoints whose address is another endpoint's now.  A request sent there under the old id
+            would reach the new process, which is warming up.
         """
         if listing.whole:
-            for server in self._peers.keys() - {entry.id for entry in listing.entries}:
-                self._drop(server)
+            for endpoint_id in self._pools.keys() - {endpoint.id for endpoint in listing.entries}:
+                self._remove(endpoint_id)
         replaced: list[EndpointId] = []
-        for entry in listing.entries:
-            if entry.state is not EndpointState.SERVING:
-                self._drop(entry.id)
+        for endpoint in listing.entries:
+            if endpoint.state is not EndpointState.SERVING:
+                self._remove(endpoint.id)
                 continue
-            address = listing.addresses[entry.id]
-            rival = self._at.get(address)
-            if rival is not None and rival != entry.id:
-                older = entry.id if self._peers[rival].started_ms > entry.started_ms else rival
-                self._drop(older)
+            older = self._add_serving(endpoint, listing.addresses[endpoint.id])
+            if older is not None:
                 replaced.append(older)
-                if older == entry.id:
-                    continue
-            peer = self._peers.get(entry.id)
-            if peer is None or peer.address != address or peer.started_ms != entry.started_ms:
-                self._drop(entry.id)
-                name = entry.id.decode(errors="replace")
-                self._peers[entry.id] = EndpointPool(name, address, entry.started_ms, self._idle_s)
-                self._at[address] = entry.id
-        return [server for server in replaced if server not in self._peers]  # else it is at another address
-
-    def _drop(self, server: EndpointId) -> None:
-        peer = self._peers.pop(server, None)
-        if peer is not None:
-            self._at.pop(peer.address, None)
-            peer.current = False
-            self._shed(list(peer.idle))
-
-    def any_listed(self) -> bool:
-        return bool(self._peers)
-
-    # Calls.
+        # One that was replaced may have been listed at another address later on.
+        return [endpoint_id for endpoint_id in replaced if endpoint_id not in self._pools]
+
+    def _add_serving(self, endpoint: Endpoint, address: tuple[str, int]) -> EndpointId | None:
+        """Follow one serving endpoint; gives the older one of two that are listed at the same address."""
+        older: EndpointId | None = None
+        occupant = self._endpoint_at.get(address)
+        if occupant is not None and occupant != endpoint.id:
+            occupant_is_newer = self._pools[occupant].started_ms > endpoint.started_ms
+            older = endpoint.id if occupant_is_newer else occupant
+            self._remove(older)
+            if occupant_is_newer:
+                return older
+        pool = self._pools.get(endpoint.id)
+        if pool is None or pool.address != address or pool.started_ms != endpoint.started_ms:
+            self._remove(endpoint.id)
+            self._add(endpoint, address)
+        return older
+
+    def _add(self, endpoint: Endpoint, address: tuple[str, int]) -> None:
+        self._pools[endpoint.id] = EndpointPool(
+            endpoint.id.decode(errors="replace"),
+            address,
+            endpoint.started_ms,
+            max_idle_timeout_s=self._max_idle_timeout_s,
+            open_connections=self._open,
+        )
+        self._endpoint_at[address] = endpoint.id
+
+    def _remove(self, endpoint_id: EndpointId) -> None:
+        pool = self._pools.pop(endpoint_id, None)
+        if pool is not None:
+            self._endpoint_at.pop(pool.address, None)
+            pool.retire()
+
+    # Requests.
 
     def call(
-        self, server: EndpointId, render: Render, timeout_s: float, done: Done, wanted: Wanted = lambda: True
+        self,
+        endpoint_id: EndpointId,
+        render: RequestRenderer,
+        timeout_s: float,
+        on_outcome: OutcomeHandler,
+        still_wanted: StillWanted = _always_wanted,
     ) -> UpstreamRequest:
-        """Start one call; its outcome comes by done, once, at the earliest after this returns."""
-        call = UpstreamRequest(render, timeout_s, done, wanted)
-        peer = self._peers.get(server)
-        if peer is None:
-            self._loop.call_soon(call.end, Outcome.CONNECT_FAILED)
-            return call
-        connection = self._rested(peer)
+        """Start a request; its outcome is reported once, and not before this returns."""
+        request = UpstreamRequest(render, timeout_s, on_outcome, still_wanted)
+        pool = self._pools.get(endpoint_id)
+        if pool is None:
+            self._loop.call_soon(request.end, Outcome.CONNECT_FAILED)
+            return request
+        connection = pool.take_idle(reuse_delay_s=REST_S)
         if connection is not None:
-            connection.carry(call)
-            return call
-        if not self._room():
-            log.warning("no descriptor left for a connection to %s", peer.name)
-            self._loop.call_soon(call.end, Outcome.CONNECT_FAILED)
-            return call
-        task = self._loop.create_task(self._connect(peer, call))
-        self._opening.add(task)
-        task.add_done_callback(self._opening.discard)
-        return call
-
-    async def _connect(self, peer: EndpointPool, call: UpstreamRequest) -> None:
-        host, port = peer.address
+            connection.send(request)
+        elif self._make_capacity():
+            task = self._loop.create_task(self._connect(pool, request))
+            self._opening.add(task)
+            task.add_done_callback(self._opening.discard)
+        else:
+            log.warning("connection_limit_reached endpoint=%s max_open=%d", pool.name, self._max_open)
+            self._loop.call_soon(request.end, Outcome.CONNECT_FAILED)
+        return request
+
+    async def _connect(self, pool: EndpointPool, request: UpstreamRequest) -> None:
+        host, port = pool.address
         try:
             async with asyncio.timeout(self._connect_s):
                 _, connection = await self._loop.create_connection(
-                    lambda: UpstreamConnection(peer, self), host, port
+                    lambda: UpstreamConnection(pool.name, pool), host, port
                 )
         except (OSError, TimeoutError):
-            call.end(Outcome.CONNECT_FAILED)
+            request.end(Outcome.CONNECT_FAILED)
             return
-        if not call.ended and not call.wanted():
-            call.end(Outcome.NOT_SENT)
-        if call.ended:
-            self.rest(connection)
-        elif not peer.current:
-            # Drained, gone or restarted meanwhile: what was decided for it is not to reach it any more.
-            connection.abandon()
-            call.end(Outcome.NOT_SENT)
-        elif connection.usable():
-            connection.carry(call)
+        self._send_first(request, connection, pool)
+
+    @staticmethod
+    def _send_first(request: UpstreamRequest, connection: UpstreamConnection, pool: EndpointPool) -> None:
+        """Send a request on the connection opened for it, unless something has changed meanwhile."""
+        if not request.ended and not request.still_wanted():
+            request.end(Outcome.NOT_SENT)
+        if request.ended:
+            pool.connection_released(connection)
+        elif pool.retired:
+            # Drained, gone or restarted: what was decided for this process must not reach it any more.
+            connection.abort()
+            request.end(Outcome.NOT_SENT)
+        elif connection.is_open():
+            connection.send(request)
         else:
-            call.end(Outcome.CONNECT_FAILED)
-
-    def _rested(self, peer: EndpointPool) -> UpstreamConnection | None:
-        """The idle connection used last among those that have been quiet for a while after their answer."""
-        now = self._loop.time()
-        for i in range(len(peer.idle) - 1, -1, -1):
-            connection = peer.idle[i]
-            if now - connection.idle_since >= REST_S:
-                del peer.idle[i]
-                if now - connection.idle_since <= peer.trusted_s and connection.quiet():
-                    return connection
-                connection.abandon()
-        return None
+            request.end(Outcome.CONNECT_FAILED)
 
     # Connections.
 
-    def opened(self, connection: UpstreamConnection) -> None:
-        self._open.add(connection)
-
-    def closed(self, connection: UpstreamConnection) -> None:
-        self._open.discard(connection)
-        if connection in connection.peer.idle:
-            connection.peer.idle.remove(connection)
-            connection.peer.distrust(self._loop.time() - connection.idle_since)
-
-    def rest(self, connection: UpstreamConnection) -> None:
-        """Keep a connection for the next call, if its server is still the same process."""
-        if not connection.peer.current:
-            connection.abandon()
-            return
-        connection.idle_since = self._loop.time()
-        connection.peer.idle.append(connection)
-
-    def close_idle(self, server: EndpointId) -> None:
-        peer = self._peers.get(server)
-        if peer is not None:
-            self._shed(list(peer.idle))
+    def close_idle(self, endpoint_id: EndpointId) -> None:
+        """Close all idle connections to an endpoint."""
+        pool = self._pools.get(endpoint_id)
+        if pool is not None:
+            pool.close_idle()
 
     def close(self) -> None:
-        """Leave nothing open."""
-        self._sweeper.cancel()
+        """Close everything.  Requests in flight are left to their deadline timers."""
+        self._reap_timer.cancel()
         for task in list(self._opening):
             task.cancel()
         for connection in list(self._open):
-            connection.abandon()
+            connection.abort()
 
-    def _shed(self, connections: Iterable[UpstreamConnection]) -> None:
-        for connection in connections:
-            connection.peer.idle.remove(connection)
-            connection.abandon()
+    def reap_idle(self) -> None:
+        """Close the connections that have been idle for longer than their endpoint allows."""
+        now = self._loop.time()
+        for pool in self._pools.values():
+            pool.reap_idle(now)
 
-    def _idle(self) -> list[UpstreamConnection]:
-        return [c for peer in self._peers.values() for c in peer.idle]
+    def _on_reap_timer(self) -> None:
+        self._reap_timer = self._loop.call_later(REAP_INTERVAL_S, self._on_reap_timer)
+        self.reap_idle()
 
-    def _room(self) -> bool:
-        """Whether one more may be opened; the connection that has been idle longest makes way for it."""
-        if len(self._open) + len(self._opening) < self._most_open:
+    def _make_capacity(self) -> bool:
+        """Whether one more connection may be opened; at the limit an idle one is closed for it."""
+        if len(self._open) + len(self._opening) < self._max_open:
             return True
-        oldest = min(self._idle(), key=lambda c: c.idle_since, default=None)
-        if oldest is None:
+        pool = min(self._pools.values(), key=lambda pool: pool.oldest_idle_since, default=None)
+        if pool is None or not pool.has_idle:
             return False
-        self._shed([oldest])
+        pool.close_oldest_idle()
         return True
-
-    def _sweep(self) -> None:
-        self._sweeper = self._loop.call_later(SWEEP_S, self._sweep)
-        now = self._loop.time()
-        for peer in self._peers.values():
-            peer.trusted_s = min(self._idle_s, TRUST_BACK * peer.trusted_s)
-            self._shed([c for c in peer.idle if now - c.idle_since > peer.trusted_s])
--- /dev/null
+++ b/load_balancer/proxy/upstream_connection.py
@@ -0,0 +1,230 @@
+"""One connection to an endpoint, and the request that it carries.
+
+Nothing is ever sent twice here.  Whatever ends after the request was handed to the socket may have run; only
+what ended before that is reported as ``Outcome.CONNECT_FAILED`` or ``Outcome.NOT_SENT``.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import select
+from typing import Protocol, cast
+
+from load_balancer.events import Outcome
+from load_balancer.proxy.http1 import NOT_RUN, HttpMessage, HttpMessageError, HttpReader
+from load_balancer.proxy.socket_poll import polls
+
+log = logging.getLogger(__name__)
+
+
+class OutcomeHandler(Protocol):
+    """Called once with a request's outcome, and with the response where a complete one came."""
+
+    def __call__(self, outcome: Outcome, response: HttpMessage | None, /) -> None: ...
+
+
+class RequestRenderer(Protocol):
+    """Gives a request's bytes for an attempt that has this many seconds left."""
+
+    def __call__(self, seconds_left: float, /) -> bytes: ...
+
+
+class StillWanted(Protocol):
+    """Tells whether somebody still waits for the response, at the moment in which the request would begin."""
+
+    def __call__(self) -> bool: ...
+
+
+class UpstreamRequest:
+    """One request to an endpoint: an attempt or a health check.  It ends once, with one outcome.
+
+    Attributes:
+        render: gives the bytes to send.
+        still_wanted: whether the request is still to be sent when its connection comes up.
+        deadline: when it times out, in the loop's time.
+        connection: the connection that carries it, until it ends.
+        written: whether its bytes were handed to a socket, so that it may have run.
+        ended: whether the outcome has been reported.
+    """
+
+    __slots__ = (
+        "_deadline_timer",
+        "_on_outcome",
+        "connection",
+        "deadline",
+        "ended",
+        "render",
+        "still_wanted",
+        "written",
+    )
+
+    def __init__(
+        self,
+        render: RequestRenderer,
+        timeout_s: float,
+        on_outcome: OutcomeHandler,
+        still_wanted: StillWanted,
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        self.render = render
+        self.still_wanted = still_wanted
+        self.deadline = loop.time() + timeout_s
+        self.connection: UpstreamConnection | None = None
+        self.written = False
+        self.ended = False
+        self._on_outcome = on_outcome
+        self._deadline_timer = loop.call_later(timeout_s, self._time_out)
+
+    def end(self, outcome: Outcome, response: HttpMessage | None = None) -> None:
+        """Report the outcome; does nothing where one was reported before."""
+        if self.ended:
+            return
+        self.ended = True
+        self._deadline_timer.cancel()
+        self.connection = None
+        self._on_outcome(outcome, response)
+
+    def give_up(self, outcome: Outcome) -> None:
+        """End without waiting for the response.
+
+        The connection is closed as well, so that a late response cannot reach another request.
+        """
+        connection = self.connection
+        if not self.ended and connection is not None:
+            connection.abort()
+        self.end(outcome)
+
+    def _time_out(self) -> None:
+        self.give_up(Outcome.TIMEOUT if self.written else Outcome.CONNECT_FAILED)
+
+
+class ConnectionOwner(Protocol):
+    """Keeps account of connections and decides which of them are kept between requests."""
+
+    def connection_opened(self, connection: UpstreamConnection, /) -> None:
+        """The connection came up."""
+
+    def connection_released(self, connection: UpstreamConnection, /) -> None:
+        """The connection has carried a request to its end and can carry another."""
+
+    def connection_closed(self, connection: UpstreamConnection, /) -> None:
+        """The connection is closed; called before the outcome of a request on it is reported."""
+
+
+class UpstreamConnection(asyncio.Protocol):
+    """One connection to an endpoint; carries one request at a time.
+
+    Attributes:
+        idle_since: since when it has carried no request, in the loop's time; 0 before the first.
+    """
+
+    def __init__(self, endpoint_name: str, owner: ConnectionOwner) -> None:
+        self.idle_since = 0.0
+        self._endpoint_name = endpoint_name
+        self._owner = owner
+        self._idle_before_request_s = 0.0
+        self._request: UpstreamRequest | None = None
+        self._response: HttpMessage | None = None
+        self._reader = HttpReader(self._on_response, requests=False)
+        self._transport: asyncio.Transport | None = None
+        self._loop = asyncio.get_running_loop()
+
+    @property
+    def in_use(self) -> bool:
+        """Whether a request is in flight on it."""
+        return self._request is not None
+
+    @property
+    def idle_before_request_s(self) -> float:
+        """How long it had been idle when its present request, or else its last, was written."""
+        return self._idle_before_request_s
+
+    def is_open(self) -> bool:
+        """Whether it is up and not being closed."""
+        return self._transport is not None and not self._transport.is_closing()
+
+    def has_no_unread_input(self) -> bool:
+        """Whether it is open, and neither surplus bytes nor the endpoint's close wait to be read."""
+        if not self.is_open():
+            return False
+        assert self._transport is not None
+        return not polls(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
+
+    def send(self, request: UpstreamRequest) -> None:
+        """Write the request; from here on it may have run."""
+        assert self._transport is not None
+        now = self._loop.time()
+        self._idle_before_request_s = now - self.idle_since if self.idle_since else 0.0
+        self._request = request
+        request.connection = self
+        request.written = True
+        self._transport.write(request.render(request.deadline - self._loop.time()))
+
+    def abort(self) -> None:
+        """Close at once; input that still comes is not read, and no outcome is reported."""
+        self._request = None
+        if self._transport is not None:
+            self._transport.abort()
+
+    # Callbacks of asyncio.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """The connection came up."""
+        self._transport = cast(asyncio.Transport, transport)  # uvloop's are no subclass
+        self._owner.connection_opened(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Read a piece of the response."""
+        if self._request is None:
+            self.abort()  # unsolicited bytes must not be taken for the next request's response
+            return
+        try:
+            self._reader.feed(data)
+        except HttpMessageError as error:
+            log.warning("response_malformed endpoint=%s problem=%s", self._endpoint_name, error)
+            self._fail(Outcome.MALFORMED_RESPONSE)
+            return
+        if self._response is not None:
+            self._complete(self._response)
+
+    def eof_received(self) -> bool:
+        """The endpoint has closed its side; the transport closes ours."""
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """The connection is closed; a request on it may have run."""
+        self._owner.connection_closed(self)
+        self._fail(Outcome.RESET)
+
+    def _fail(self, outcome: Outcome) -> None:
+        request = self._request
+        self.abort()
+        if request is not None:
+            request.end(outcome)
+
+    def _on_response(self, message: HttpMessage) -> None:
+        """The first complete message is the response; the parser may still be inside the same input."""
+        self._reader.stop()
+        self._response = message
+
+    def _complete(self, response: HttpMessage) -> None:
+        """Report the response.  A connection that brought more than that must not carry another request."""
+        request, self._request, self._response = self._request, None, None
+        if response.keep_alive and self.is_open() and not self._reader.surplus:
+            self._reader.resume()
+            self._owner.connection_released(self)
+        else:
+            self.abort()
+        if request is not None:
+            request.end(_outcome_of(response), response)
+
+
+def _outcome_of(response: HttpMessage) -> Outcome:
+    if response.status == 200:
+        return Outcome.OK
+    if response.status in (503, 504) and response.headers.get(NOT_RUN) == b"1":
+        return Outcome.REJECTED
+    if 400 <= response.status < 500:
+        return Outcome.CLIENT_ERROR
+    return Outcome.ERROR
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -220,10 +220,10 @@
         behaviours = [reply("200 OK", b"1"), reply("200 OK", b"2")]
         async with StubServer(behaviours) as server, attempts(server.address) as a:
             assert await a.outcome() == (Outcome.OK, b"1")
-            (connection,) = a.servers._open
-            assert connection.quiet()
+            (connection,) = a.servers.open_connections
+            assert connection.has_no_unread_input()
             os.write(server.writers[0].get_extra_info("socket").fileno(), b"HTTP/1.1 500 No\r\n")
-            while connection.quiet():
+            while connection.has_no_unread_input():
                 time.sleep(0)  # the loop must not get to read it
             assert await a.outcome() == (Outcome.OK, b"2")
             assert server.opened == 2
@@ -284,7 +284,7 @@
         assert servers.update(whole) == []
         assert servers.update(whole) == []
         assert _Address.compared <= 8 * count
-        assert len(servers._peers) == count
+        assert len(servers.pools) == count
         servers.close()
 
     run(main())
@@ -325,26 +325,26 @@
 ) -> None:
     """A request that crosses the server's close may have run: a booking is lost with it."""
     monkeypatch.setattr("load_balancer.proxy.upstream.REST_S", 0.0)
-    monkeypatch.setattr("load_balancer.proxy.upstream.TRUST_LEAST_S", 0.0)
+    monkeypatch.setattr("load_balancer.proxy.endpoint_pool.MIN_RECORDED_IDLE_S", 0.0)
 
     async def main() -> None:
         async with StubServer([reply("200 OK")]) as server, attempts(server.address) as a:
-            (peer,) = a.servers._peers.values()
-            told = peer.trusted_s
+            (pool,) = a.servers.pools
+            configured = pool.idle_timeout_s
             await a.outcome()
             server.writers[0].close()
-            while a.servers._open:
+            while a.servers.open_connections:
                 await asyncio.sleep(0)
-            assert peer.trusted_s < told
-            peer.trusted_s = 0.0
+            assert pool.idle_timeout_s < configured
+            pool.idle_timeout_s = 0.0
             await a.outcome()
-            while a.servers._loop.time() <= a.servers._idle()[0].idle_since:
+            while asyncio.get_running_loop().time() <= pool.oldest_idle_since:
                 await asyncio.sleep(0)
             await a.outcome()
             assert server.opened == 3, "an older connection than the server keeps was used"
-            peer.trusted_s = told / 2
-            a.servers._sweep()
-            assert told / 2 < peer.trusted_s < told, "it is trusted again in time"
+            pool.idle_timeout_s = configured / 2
+            a.servers.reap_idle()
+            assert configured / 2 < pool.idle_timeout_s < configured, "it is trusted again in time"
 
     run(main())
 
