Split discovery into listing, watch and owner, with typed addresses and errors

Cause: one module read the list, ran one watch's connection and decided which watch is kept; addresses were bare tuples, and errors told what went wrong in their text alone. Change: endpoint_listing.py, discovery_watch.py and discovery.py have one job each, linked by WatchOwner; address.py holds Address; ListingError, MalformedStreamError and ConfigurationError carry the problem, the last the key as well. Texts on standard error for a bad configuration stay as they were.

--- /dev/null
+++ b/load_balancer/proxy/address.py
@@ -0,0 +1,27 @@
+"""Network addresses as the configuration and the endpoint list write them."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+_PORT_COUNT = 65536
+
+
+class Address(NamedTuple):
+    """Where a process listens."""
+
+    host: str
+    port: int
+
+
+def parse_address(text: str) -> Address:
+    """Read 'host:port'.
+
+    Raises:
+        ValueError: the text is no address.
+    """
+    host, _, port_text = text.rpartition(":")
+    port = int(port_text)
+    if not host or not 0 <= port < _PORT_COUNT:
+        raise ValueError(text)
+    return Address(host, port)
--- a/load_balancer/proxy/configuration.py
+++ b/load_balancer/proxy/configuration.py
@@ -1,31 +1,54 @@
-"""What a node is told at its start: the environment and the configuration file, checked, with errors that
-name the field."""
+"""Reads and checks what a node is started with: its environment and the file that NODE_CONFIG names."""
 
 from __future__ import annotations
 
 import json
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, TypeVar
 
-from load_balancer.proxy.discovery import EndpointListing, ListError, ListingReader, parse_address
+from load_balancer.proxy.address import Address, parse_address
+from load_balancer.proxy.endpoint_listing import EndpointListing, ListingError, ListingReader
 from load_balancer.settings import Settings, SettingsError
 from load_balancer.settings_format import read_settings
 
-_DEFAULT_CONN_IDLE_MS = 15_000.0
-# With fewer no request can be served.  A tight limit is the platform's to set, and no reason not to start:
-# a node that wanted 64 MB at the least did not come up on a machine of 48.
-_LEAST_SOCKETS = 16
+MemberType = TypeVar("MemberType")
+
+_DEFAULT_CONNECTION_IDLE_MS = 15_000.0
+# With fewer no request can be served.  A tight limit is the platform's to set, and no reason not to start: a
+# node that required 64 MB at the least did not come up on a machine of 48.
+_MIN_SOCKETS = 16
+_MIN_MEMORY_MB = 1
 _SEED_MASK = 2**64 - 1
 
 
 class ConfigurationError(Exception):
-    """A configuration that cannot be used; its text names the field."""
+    """A configuration that cannot be used.
+
+    Attributes:
+        key: the environment variable, or the member of the file, that is at fault.
+        problem: what is wrong with it, including its value.
+    """
+
+    def __init__(self, key: str, problem: str, *, separator: str = " ") -> None:
+        super().__init__(f"{key}{separator}{problem}")
+        self.key = key
+        self.problem = problem
+
+    @classmethod
+    def within(cls, key: str, problem: object) -> ConfigurationError:
+        """An error somewhere in the value of key; the problem says where."""
+        return cls(key, str(problem), separator=": ")
 
 
 @dataclass(frozen=True, slots=True)
 class Limits:
-    """What the platform allows one node."""
+    """What the platform allows one node.
+
+    Attributes:
+        memory_mb: memory in megabytes.
+        sockets: file descriptors.
+    """
 
     memory_mb: int
     sockets: int
@@ -33,12 +56,25 @@
 
 @dataclass(frozen=True, slots=True)
 class NodeConfiguration:
-    """All that a node knows when it starts."""
-
-    path: str  # of the file, which is read again at SIGHUP
+    """Everything that a node knows when it starts.
+
+    Attributes:
+        path: the configuration file, which is read again at SIGHUP.
+        name: the node's name in log lines.
+        listen: where the node listens for clients.
+        discovery: where discovery listens.
+        seed: the seed of the policy's random numbers.
+        limits: what the platform allows.
+        settings: the policy's settings.
+        naming: reads endpoint lists with the names that the settings define.
+        known: the endpoint list that was in force when the file was written, if there was one.
+        conn_idle_ms: after how many idle milliseconds endpoints close a connection.
+    """
+
+    path: str
     name: str
-    listen: tuple[str, int]
-    discovery: tuple[str, int]
+    listen: Address
+    discovery: Address
     seed: int
     limits: Limits
     settings: Settings
@@ -48,40 +84,67 @@
 
 
 def load_configuration(environment: Mapping[str, str]) -> NodeConfiguration:
-    """The configuration of this process."""
-    path = _variable(environment, "NODE_CONFIG")
+    """Read the configuration of this process.
+
+    Raises:
+        ConfigurationError: something is missing, cannot be read or is out of range.
+    """
+    path = _read_variable(environment, "NODE_CONFIG")
     raw = _read_file(path)
-    settings_raw = _member(raw, "settings", dict)
-    values = dict(flat(settings_raw))
-    try:
-        settings = read_settings(values)
-    except SettingsError as error:
-        raise ConfigurationError(f"settings: {error}") from None
-    naming = ListingReader(_names(settings_raw, "azs"), _names(settings_raw, "models"))
-    limits = _member(raw, "limits", dict)
+    raw_settings = _read_member(raw, "settings", dict)
+    setting_texts = dict(flat(raw_settings))
+    settings = _read_settings(setting_texts)
+    listing_reader = ListingReader(_read_names(raw_settings, "azs"), _read_names(raw_settings, "models"))
+    raw_limits = _read_member(raw, "limits", dict)
     return NodeConfiguration(
         path=path,
-        name=environment.get("NODE_NAME") or _member(raw, "name", str),
-        listen=_address(environment, raw, "NODE_LISTEN", "listen"),
-        discovery=_address(environment, raw, "NODE_DISCOVERY", "discovery"),
-        seed=_seed(_member(raw, "seed", str)),
-        limits=Limits(_limit(limits, "memory_mb", 1), _limit(limits, "sockets", _LEAST_SOCKETS)),
+        name=environment.get("NODE_NAME") or _read_member(raw, "name", str),
+        listen=_read_address(environment, raw, "NODE_LISTEN", "listen"),
+        discovery=_read_address(environment, raw, "NODE_DISCOVERY", "discovery"),
+        seed=_parse_seed(_read_member(raw, "seed", str)),
+        limits=Limits(
+            memory_mb=_read_limit(raw_limits, "memory_mb", _MIN_MEMORY_MB),
+            sockets=_read_limit(raw_limits, "sockets", _MIN_SOCKETS),
+        ),
         settings=settings,
-        naming=naming,
-        known=_known(raw.get("known"), naming),
-        conn_idle_ms=_conn_idle(values),
+        naming=listing_reader,
+        known=_read_cached_listing(raw.get("known"), listing_reader),
+        conn_idle_ms=_read_connection_idle_ms(setting_texts),
     )
 
 
-def reload_discovery_address(path: str) -> tuple[str, int]:
-    """Where discovery is by the file as it stands now; the environment names the address of the start."""
-    return _address({}, _read_file(path), "discovery", "discovery")
+def reload_discovery_address(path: str) -> Address:
+    """Where discovery listens by the file as it stands now.
 
+    The environment is not looked at: it names the address of the start.
 
-def _variable(environment: Mapping[str, str], name: str) -> str:
+    Raises:
+        ConfigurationError: the file cannot be read or names no address.
+    """
+    return _read_address({}, _read_file(path), "discovery", "discovery")
+
+
+def flat(value: Any, path: str = "") -> Iterator[tuple[str, str]]:
+    """Turn nested JSON into the path to value pairs that settings are read from."""
+    if isinstance(value, dict):
+        for name, member in value.items():
+            yield from flat(member, f"{path}.{name}" if path else name)
+    elif isinstance(value, list) and any(isinstance(item, dict) for item in value):
+        yield f"{path}.count", str(len(value))
+        for i, item in enumerate(value):
+            yield from flat(item, f"{path}.{i}")
+    elif isinstance(value, list):
+        yield path, ",".join(str(item).replace(",", "_") for item in value)
+    elif isinstance(value, bool):
+        yield path, "true" if value else "false"
+    elif value is not None:
+        yield path, str(value)
+
+
+def _read_variable(environment: Mapping[str, str], name: str) -> str:
     value = environment.get(name, "")
     if not value:
-        raise ConfigurationError(f"{name} is not set")
+        raise ConfigurationError(name, "is not set")
     return value
 
 
@@ -90,82 +153,72 @@
         with open(path, encoding="utf-8") as file:
             raw = json.load(file)
     except (OSError, ValueError, RecursionError) as error:
-        raise ConfigurationError(f"NODE_CONFIG: {path} cannot be read: {error}") from None
+        raise ConfigurationError.within("NODE_CONFIG", f"{path} cannot be read: {error}") from None
     if not isinstance(raw, dict):
-        raise ConfigurationError(f"NODE_CONFIG: {path} holds no object")
+        raise ConfigurationError.within("NODE_CONFIG", f"{path} holds no object")
     return raw
 
 
-def _member(raw: Mapping[str, Any], name: str, kind: type) -> Any:
+def _read_member(raw: Mapping[str, Any], name: str, kind: type[MemberType]) -> MemberType:
     value = raw.get(name)
     if not isinstance(value, kind):
-        raise ConfigurationError(f"{name} is missing or not of type {kind.__name__}: {value!r}")
+        raise ConfigurationError(name, f"is missing or not of type {kind.__name__}: {value!r}")
     return value
 
 
-def _limit(raw: Mapping[str, Any], name: str, least: int) -> int:
+def _read_settings(setting_texts: Mapping[str, str]) -> Settings:
+    try:
+        return read_settings(setting_texts)
+    except SettingsError as error:
+        raise ConfigurationError.within("settings", error) from None
+
+
+def _read_limit(raw: Mapping[str, Any], name: str, lowest: int) -> int:
     value: object = raw.get(name)
-    if not isinstance(value, int | float) or isinstance(value, bool) or not least <= value < float("inf"):
-        raise ConfigurationError(f"limits.{name} is not a number of at least {least}: {value!r}")
+    if not isinstance(value, int | float) or isinstance(value, bool) or not lowest <= value < float("inf"):
+        raise ConfigurationError(f"limits.{name}", f"is not a number of at least {lowest}: {value!r}")
     return int(value)
 
 
-def _seed(text: str) -> int:
+def _parse_seed(text: str) -> int:
     try:
         return int(text, 16) & _SEED_MASK
     except ValueError:
-        raise ConfigurationError(f"seed is not a hexadecimal number: {text!r}") from None
+        raise ConfigurationError("seed", f"is not a hexadecimal number: {text!r}") from None
 
 
-def _address(
+def _read_address(
     environment: Mapping[str, str], raw: Mapping[str, Any], variable: str, member: str
-) -> tuple[str, int]:
-    text = environment.get(variable) or _member(raw, member, str)
+) -> Address:
+    text = environment.get(variable) or _read_member(raw, member, str)
     try:
         return parse_address(text)
     except ValueError:
-        raise ConfigurationError(f"{variable} is not an address and a port: {text!r}") from None
+        raise ConfigurationError(variable, f"is not an address and a port: {text!r}") from None
 
 
-def _known(raw: Any, naming: ListingReader) -> EndpointListing | None:
+def _read_cached_listing(raw: Any, listing_reader: ListingReader) -> EndpointListing | None:
     if raw is None:
         return None
     try:
-        return naming.read(raw)
-    except ListError as error:
-        raise ConfigurationError(f"known: {error}") from None
+        return listing_reader.read(raw)
+    except ListingError as error:
+        raise ConfigurationError.within("known", error) from None
 
 
-def _conn_idle(values: Mapping[str, str]) -> float:
-    text = values.get("policyLimits.connIdleMs", str(_DEFAULT_CONN_IDLE_MS))
+def _read_connection_idle_ms(setting_texts: Mapping[str, str]) -> float:
+    text = setting_texts.get("policyLimits.connIdleMs", str(_DEFAULT_CONNECTION_IDLE_MS))
     try:
-        idle = float(text)
+        idle_ms = float(text)
     except ValueError:
-        idle = -1.0
-    if not 0 < idle < float("inf"):
-        raise ConfigurationError(f"settings: policyLimits.connIdleMs is out of range: {text}")
-    return idle
+        idle_ms = -1.0
+    if not 0 < idle_ms < float("inf"):
+        raise ConfigurationError.within("settings", f"policyLimits.connIdleMs is out of range: {text}")
+    return idle_ms
 
 
-def _names(settings: Mapping[str, Any], key: str) -> tuple[str, ...]:
-    value = settings.get(key, [])
+def _read_names(raw_settings: Mapping[str, Any], key: str) -> tuple[str, ...]:
+    value = raw_settings.get(key, [])
     if not isinstance(value, list):
-        raise ConfigurationError(f"settings: {key} is not a list: {value!r}")
+        raise ConfigurationError.within("settings", f"{key} is not a list: {value!r}")
     return tuple(str(name) for name in value)
-
-
-def flat(value: Any, path: str = "") -> Iterator[tuple[str, str]]:
-    """Nested JSON as the path to value pairs of the simulator's first message."""
-    if isinstance(value, dict):
-        for name, member in value.items():
-            yield from flat(member, f"{path}.{name}" if path else name)
-    elif isinstance(value, list) and any(isinstance(item, dict) for item in value):
-        yield f"{path}.count", str(len(value))
-        for i, item in enumerate(value):
-            yield from flat(item, f"{path}.{i}")
-    elif isinstance(value, list):
-        yield path, ",".join(str(item).replace(",", "_") for item in value)
-    elif isinstance(value, bool):
-        yield path, "true" if value else "false"
-    elif value is not None:
-        yield path, str(value)
--- a/load_balancer/proxy/endpoint_pool.py
+++ b/load_balancer/proxy/endpoint_pool.py
@@ -5,6 +5,7 @@
 import asyncio
 import math
 
+from load_balancer.proxy.address import Address
 from load_balancer.proxy.upstream_connection import UpstreamConnection
 
 IDLE_TIMEOUT_FRACTION = 0.5  # of the time after which an endpoint closes: a request must never cross that
@@ -41,7 +42,7 @@
     def __init__(
         self,
         name: str,
-        address: tuple[str, int],
+        address: Address,
         started_ms: float,
         *,
         max_idle_timeout_s: float,
--- a/load_balancer/proxy/json_stream.py
+++ b/load_balancer/proxy/json_stream.py
@@ -1,8 +1,9 @@
-"""Cuts a stream of JSON objects into its objects, however they are laid out over lines and pieces.
+"""Splits a stream of JSON objects into its objects, however they are spread over lines and pieces of input.
 
-A watch carries one object a line by the protocol's first word, and by its later one an object may be indented
-over several; blank lines between objects are signs of life.  What is garbled must be known for that at once
-and not waited for: no token of JSON holds a line break, so what is no token at a line's end never will be.
+A watch first had one object a line; now an object may also be indented over several lines, and blank lines
+between objects are heartbeats.  Malformed input must be detected as soon as its line is complete, and not be
+waited on: no JSON token contains a line break, so a remainder that is no token at the end of a line never
+becomes one.
 """
 
 from __future__ import annotations
@@ -10,67 +11,81 @@
 import re
 from collections.abc import Iterator
 
-MAX_OBJECT = 4 * 1024 * 1024  # a list of some ten thousand servers
-MAX_DEPTH = 32  # far more than a list has; reading deeper ones would exhaust the stack
+MAX_OBJECT_BYTES = 4 * 1024 * 1024  # an endpoint list of some ten thousand endpoints
+MAX_DEPTH = 32  # far deeper than an endpoint list; reading a deeper object would exhaust the stack
 
-# Whatever stands between two brackets; possessive, so that no input makes it go back and forth.  A number may
-# go on in the next piece: what ends it belongs to it.
-_RUN = re.compile(
+# Whatever stands between two brackets; possessive, so that no input causes backtracking.  A number may go on
+# in the next piece of input: it is complete only with the character that ends it.
+_BETWEEN_BRACKETS = re.compile(
     rb'(?:[ \t\r\n,:]++|"(?:[^"\\\x00-\x1f]++|\\[^\x00-\x1f])*+"'
     rb"|-?[0-9][0-9.eE+-]*+(?=[ \t\r\n,\]}])|true|false|null)*+"
 )
 _BLANK = b" \t\r\n"
+_OPENING_BRACKETS = b"{["
+_BRACKETS = b"{}[]"
 
 
-class GarbledError(Exception):
-    """What came is no sequence of JSON objects."""
+class MalformedStreamError(Exception):
+    """The input is no sequence of JSON objects, or an object exceeds a limit.
 
+    Attributes:
+        problem: what is wrong with the input.
+    """
 
-class Objects:
-    """Feed it pieces as they come; it gives whole objects as text, and what is wrong as GarbledError."""
+    def __init__(self, problem: str) -> None:
+        super().__init__(problem)
+        self.problem = problem
+
+
+class JsonObjectStream:
+    """Collects pieces of input and gives each complete object as text."""
 
     def __init__(self) -> None:
         self._buffer = bytearray()
-        self._scanned = 0
-        self._depth = 0
+        self._scanned = 0  # how much of the buffer has been scanned
+        self._depth = 0  # how many brackets are open there
 
     @property
-    def within(self) -> bool:
-        """Whether an object has begun and is not whole yet."""
+    def in_object(self) -> bool:
+        """Whether an object has begun and is not complete yet."""
         return self._depth > 0
 
     def feed(self, piece: bytes) -> Iterator[bytes]:
-        """Take in a piece; the objects that it completes."""
+        """Take in a piece of input and give the objects that it completes.
+
+        Raises:
+            MalformedStreamError: the stream cannot be read from here on.
+        """
         self._buffer += piece
         while (bracket := self._next_bracket()) is not None:
-            self._depth += 1 if bracket in b"{[" else -1
+            self._depth += 1 if bracket in _OPENING_BRACKETS else -1
             self._scanned += 1
             if self._depth > MAX_DEPTH:
-                raise GarbledError("an object is nested too deep")
+                raise MalformedStreamError("an object is nested too deep")
             if self._depth == 0:
-                whole = bytes(self._buffer[: self._scanned])
+                complete = bytes(self._buffer[: self._scanned])
                 self._drop_scanned()
-                yield whole
+                yield complete
         if self._depth == 0:
             self._drop_scanned()
-        if len(self._buffer) > MAX_OBJECT:
-            raise GarbledError(f"an object of more than {MAX_OBJECT} bytes")
+        if len(self._buffer) > MAX_OBJECT_BYTES:
+            raise MalformedStreamError(f"an object of more than {MAX_OBJECT_BYTES} bytes")
 
     def _next_bracket(self) -> bytes | None:
-        """The bracket at the place scanned up to then, None where more has to come first."""
+        """Scan up to the next bracket and give it; None where more input is needed first."""
         begin = self._scanned
-        found = _RUN.match(self._buffer, begin)
-        assert found is not None  # it matches nothing, too
+        found = _BETWEEN_BRACKETS.match(self._buffer, begin)
+        assert found is not None  # the pattern matches the empty string, too
         self._scanned = found.end()
         if self._depth == 0 and self._buffer[begin : self._scanned].strip(_BLANK):
-            raise GarbledError("something stands outside of an object")
+            raise MalformedStreamError("a value stands outside of an object")
         bracket = bytes(self._buffer[self._scanned : self._scanned + 1])
-        if bracket and bracket in b"{}[]":
+        if bracket and bracket in _BRACKETS:
             if self._depth == 0 and bracket != b"{":
-                raise GarbledError("something stands outside of an object")
+                raise MalformedStreamError("a value stands outside of an object")
             return bracket
         if b"\n" in self._buffer[self._scanned :]:
-            raise GarbledError("a line is no JSON")
+            raise MalformedStreamError("a line is not JSON")
         return None
 
     def _drop_scanned(self) -> None:
--- a/load_balancer/proxy/upstream.py
+++ b/load_balancer/proxy/upstream.py
@@ -6,7 +6,8 @@
 import logging
 
 from load_balancer.events import Endpoint, EndpointId, EndpointState, Outcome
-from load_balancer.proxy.discovery import EndpointListing
+from load_balancer.proxy.address import Address
+from load_balancer.proxy.endpoint_listing import EndpointListing
 from load_balancer.proxy.endpoint_pool import IDLE_TIMEOUT_FRACTION, EndpointPool
 from load_balancer.proxy.upstream_connection import (
     OutcomeHandler,
@@ -47,7 +48,7 @@
         self._max_idle_timeout_s = IDLE_TIMEOUT_FRACTION * idle_s
         self._max_open = most_open
         self._pools: dict[EndpointId, EndpointPool] = {}
-        self._endpoint_at: dict[tuple[str, int], EndpointId] = {}  # which endpoint is listed at an address
+        self._endpoint_at: dict[Address, EndpointId] = {}  # which endpoint is listed at an address
         self._open: set[UpstreamConnection] = set()
         self._opening: set[asyncio.Task[None]] = set()
         self._reap_timer = self._loop.call_later(REAP_INTERVAL_S, self._on_reap_timer)
@@ -77,11 +78,11 @@
             The endpoints whose address is another endpoint's now.  A request sent there under the old id
             would reach the new process, which is warming up.
         """
-        if listing.whole:
-            for endpoint_id in self._pools.keys() - {endpoint.id for endpoint in listing.entries}:
+        if listing.complete:
+            for endpoint_id in self._pools.keys() - {endpoint.id for endpoint in listing.endpoints}:
                 self._remove(endpoint_id)
         replaced: list[EndpointId] = []
-        for endpoint in listing.entries:
+        for endpoint in listing.endpoints:
             if endpoint.state is not EndpointState.SERVING:
                 self._remove(endpoint.id)
                 continue
@@ -91,7 +92,7 @@
         # One that was replaced may have been listed at another address later on.
         return [endpoint_id for endpoint_id in replaced if endpoint_id not in self._pools]
 
-    def _add_serving(self, endpoint: Endpoint, address: tuple[str, int]) -> EndpointId | None:
+    def _add_serving(self, endpoint: Endpoint, address: Address) -> EndpointId | None:
         """Follow one serving endpoint; gives the older one of two that are listed at the same address."""
         older: EndpointId | None = None
         occupant = self._endpoint_at.get(address)
@@ -107,7 +108,7 @@
             self._add(endpoint, address)
         return older
 
-    def _add(self, endpoint: Endpoint, address: tuple[str, int]) -> None:
+    def _add(self, endpoint: Endpoint, address: Address) -> None:
         self._pools[endpoint.id] = EndpointPool(
             endpoint.id.decode(errors="replace"),
             address,
--- a/tests/stubs.py
+++ b/tests/stubs.py
@@ -12,8 +12,9 @@
 
 import uvloop
 
+from load_balancer.proxy.address import Address, parse_address
 from load_balancer.proxy.configuration import Limits, NodeConfiguration, flat
-from load_balancer.proxy.discovery import ListingReader
+from load_balancer.proxy.endpoint_listing import ListingReader
 from load_balancer.proxy.server import Node
 from load_balancer.settings_format import read_settings
 
@@ -339,12 +340,11 @@
     """A node that knows these servers; changes go into its settings."""
     naming = ListingReader(("hall",), ("std",))
     async with StubDiscovery() as discovery:
-        host, _, port = discovery.address.rpartition(":")
         config = NodeConfiguration(
             path=path,
             name="n0",
-            listen=(HOST, 0),
-            discovery=(host, int(port)),
+            listen=Address(HOST, 0),
+            discovery=parse_address(discovery.address),
             seed=7,
             limits=Limits(192, sockets),
             settings=read_settings(dict(flat(settings(**changes)))),
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -11,7 +11,7 @@
 
 from load_balancer.events import EndpointListKind, EndpointState
 from load_balancer.proxy.configuration import ConfigurationError, load_configuration
-from load_balancer.proxy.discovery import ListError, ListingReader
+from load_balancer.proxy.endpoint_listing import ListingError, ListingReader
 from load_balancer.proxy.server import Clock
 from load_balancer.settings import Idempotency
 from tests.stubs import listing, row, settings
@@ -96,14 +96,14 @@
     ],
 )
 def test_a_bad_list_is_an_error_of_its_own(raw: Any) -> None:
-    with pytest.raises(ListError):
+    with pytest.raises(ListingError):
         ListingReader((), ()).read(raw)
 
 
 def test_names_become_their_place_in_the_settings() -> None:
     naming = ListingReader(("north", "south"), ("std", "slow"))
     rows = [{**row("a", "h:1"), "zone": "south", "machineType": kind} for kind in ("slow", "odd", "std")]
-    entries = naming.read(listing(1, *rows)).entries
+    entries = naming.read(listing(1, *rows)).endpoints
     assert [entry.zone for entry in entries] == [1, 1, 1]
     assert len({entry.machine_type for entry in entries}) == 3
     assert (entries[0].machine_type, entries[2].machine_type) == (1, 0)
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -12,7 +12,8 @@
 import pytest
 
 from load_balancer.events import Outcome
-from load_balancer.proxy.discovery import ListingReader
+from load_balancer.proxy.address import Address
+from load_balancer.proxy.endpoint_listing import ListingReader
 from load_balancer.proxy.http1 import HttpMessage
 from load_balancer.proxy.upstream import UpstreamPools, UpstreamRequest
 from tests.stubs import HOST, PATIENCE_S, Behaviour, StubServer, listing, raw, reply, reset, row, run, silent
@@ -261,14 +262,16 @@
     run(main())
 
 
-class _Address(tuple[str, int]):
+class _CountedAddress(Address):
     """An address that counts how often it is compared."""
 
     compared = 0
-    __hash__ = tuple.__hash__
+
+    def __hash__(self) -> int:
+        return super().__hash__()
 
     def __eq__(self, other: object) -> bool:
-        _Address.compared += 1
+        _CountedAddress.compared += 1
         return tuple.__eq__(self, other)
 
 
@@ -279,11 +282,11 @@
         rows = [row(f"s{i}", f"{HOST}:{1 + i}") for i in range(count)]
         whole = ListingReader((), ()).read(listing(1, *rows))
         for name, address in whole.addresses.items():
-            whole.addresses[name] = _Address(address)
-        _Address.compared = 0
+            whole.addresses[name] = _CountedAddress(*address)
+        _CountedAddress.compared = 0
         assert servers.update(whole) == []
         assert servers.update(whole) == []
-        assert _Address.compared <= 8 * count
+        assert _CountedAddress.compared <= 8 * count
         assert len(servers.pools) == count
         servers.close()
 
