Word the comments of discovery in standard terms

Cause: a few comments and a field of discovery kept invented wording. Change: comments and one private field only.

--- a/load_balancer/proxy/discovery.py
+++ b/load_balancer/proxy/discovery.py
@@ -61,7 +61,7 @@
             poll_timeout_s: how long the policy waits for a poll, in seconds.
             drain_grace_s: the time in seconds within which sending to a draining endpoint must stop.
             on_listing: receives the lists.
-            on_failure: is told of failures where lists are polled.
+            on_failure: is notified of failures where lists are polled.
         """
         self._address = address
         self._listing_reader = listing_reader
@@ -75,7 +75,7 @@
         self._loop = asyncio.get_running_loop()
         self._version = 0
         self._has_received_input = False
-        self._wanted = False  # a watch has been asked for
+        self._subscribed = False  # a watch has been opened before
         self._watch: DiscoveryWatch | None = None
         self._successor: DiscoveryWatch | None = None
         self._reconnect_timer: asyncio.TimerHandle | None = None
@@ -114,7 +114,7 @@
     def subscribe(self) -> None:
         """Open a watch from the last version on; replaces one that is still there."""
         self.close()
-        self._wanted = True
+        self._subscribed = True
         self._watch = self._open_watch()
 
     def move(self, address: Address) -> None:
@@ -125,7 +125,7 @@
         if self._successor is not None:
             self._successor.close()
             self._successor = None
-        if self._wanted:
+        if self._subscribed:
             # Also where the last watch failed: the pause after that was for the old address.
             self._open_successor()
 
--- a/load_balancer/proxy/discovery_watch.py
+++ b/load_balancer/proxy/discovery_watch.py
@@ -40,7 +40,7 @@
 class DiscoveryWatch(asyncio.Protocol):
     """One watch on one connection.
 
-    It owns its connection, the task that opens it and its timer.  Its owner is told once that it has ended,
+    It owns its connection, the task that opens it and its timer.  Its owner is notified once of its end,
     unless the owner closed it.
     """
 
@@ -50,7 +50,7 @@
         """Begin to open the watch.
 
         Args:
-            owner: is told what comes.
+            owner: receives what comes.
             address: where discovery listens.
             version: the version of the endpoint list after which changes are wanted.
             response_timeout_s: how long the first input may take.
@@ -76,7 +76,7 @@
             self._end()
 
     def close(self) -> None:
-        """Close the connection; the owner is not told of the end."""
+        """Close the connection; the owner is not notified."""
         self._over = True
         self._timer.cancel()
         self._connect_task.cancel()
--- a/load_balancer/proxy/upstream.py
+++ b/load_balancer/proxy/upstream.py
@@ -54,7 +54,7 @@
 
     @property
     def open_connections(self) -> tuple[UpstreamConnection, ...]:
-        """All connections that are up, also those to endpoints that are listed no more."""
+        """All connections that are up, also those to endpoints that are no longer listed."""
         return tuple(self._open)
 
     @property
--- a/tests/stubs.py
+++ b/tests/stubs.py
@@ -1,6 +1,6 @@
 """Fakes on loopback sockets for what surrounds a node: endpoints, discovery and clients.
 
-They speak over real connections, so that a node under test runs as it does in production.
+They use real connections, so that a node under test runs as it does in production.
 """
 
 from __future__ import annotations
