Give the automaton, the latency estimator and the fading rate modules of their own

The automaton and the estimators move out under standard names; the rate, which decides nothing, leaves the policy.

--- a/load_balancer/policy/balancer.py
+++ b/load_balancer/policy/balancer.py
@@ -13,7 +13,6 @@
 import math
 import random
 from bisect import insort
-from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
 from load_balancer.actions import (
@@ -46,23 +45,11 @@
     TimerFired,
     UnexpectedEventError,
 )
+from load_balancer.policy.automaton import Automaton
+from load_balancer.policy.estimators import LatencyEstimates
+from load_balancer.rates import FadingRate
 from load_balancer.settings import DeduplicationScope, Idempotency, RequestClass, Settings
 
-# The automaton.  A copy sees few calls over many servers, so both steps are far above the paper's.
-ALPHA = 0.15  # an average spans about seven of its server's calls
-THETA_SHARE = 0.06  # theta = this / r; with the floor the walk of equals stays under a sixth of a share
-# N nodes share the calls, so each learns at an N-th of the rate, while the walks of their vectors cancel out
-# in what a server gets from all of them.  theta = this * N / r keeps that sum as steady as three nodes at
-# the share above keep it; over K listed kinds in place of r servers the same holds.
-THETA_NODES = 0.02
-ALPHA_NODES = ALPHA / 3  # per node, for the same reason
-ALPHA_MOST = 0.5  # an average of a sparse view still spans two calls
-THETA_MOST = 0.1  # of alpha: the averages must stay well ahead of the shares of servers
-THETA_KIND_MOST = 1 / 3  # of alpha: the shares of kinds rest on the averages of many servers
-FLOOR_SHARE = 0.4  # p_min = this / r; also pulls shares that latency cannot tell apart back to uniform
-NEWCOMER_SHARE = 1.0  # a newcomer's part of the mean share; while it is cold its budget bounds it
-CHARGE_CAP = 3.0  # a failure enters an average at no more than this many means: silence lifts no threshold
-
 # Server health, always against peers.
 FAIL_STEP = 0.3  # two failures in a row cross FAIL_EJECT, one never does
 SPOILT_STEP = 0.14  # any server spoils an answer now and then: four in a row cross it, three never do
@@ -73,8 +60,6 @@
 EJECT_MOST = 0.34  # part of the fleet that may be out at once
 BAR_MOST = 0.5  # and that may be out for one class: these go on serving the others, so no capacity is lost
 PANIC = 0.5  # with more than this part unhealthy, health is ignored: the cause is not the servers
-DEVIATIONS = 4.0  # patience = mean + this many mean deviations, as in TCP's time-out
-LATE_LEAST = 2.0  # and at least this many means, for work that always takes the same time
 # Time out is told in cold times, as what broke a server mostly starts it anew; but where servers warm up in
 # a second, what ails one still lasts for many answers: one that failed a class was tried every second.
 EJECT_AIMS = 4.0
@@ -139,128 +124,6 @@
 ASK_MOST_MS = 6000.0 / 6
 
 
-# ---------------------------------------------------------------- the automaton
-
-
-class Automaton:
-    """A floored probability vector over servers and a latency average for each."""
-
-    __slots__ = ("_index", "_kinds", "_nodes", "alpha", "average", "p", "servers", "theta", "theta_kind")
-
-    def __init__(self, nodes: int = 1) -> None:
-        self.servers: list[EndpointId] = []
-        self.p: list[float] = []
-        self.average: list[float | None] = []  # None: not called yet, counts as the mean of the others
-        self.alpha = min(max(ALPHA, ALPHA_NODES * nodes), ALPHA_MOST)
-        self.theta = 0.0  # the steps are set with the servers
-        self.theta_kind = 0.0  # 0 where all are listed as of one kind
-        self._nodes = nodes
-        self._kinds: list[int] = []
-        self._index: dict[EndpointId, int] = {}
-
-    def mean(self) -> float | None:
-        """The payoff threshold: the mean of all averages, None before any answer."""
-        known = [a for a in self.average if a is not None]
-        return sum(known) / len(known) if known else None
-
-    def draw(self, eligible: Sequence[int], u: float) -> int:
-        """The index drawn by u in [0, 1) from the vector conditioned on the eligible."""
-        p = self.p
-        left = u * sum(p[i] for i in eligible)
-        for i in eligible:
-            left -= p[i]
-            if left < 0.0:
-                return i
-        return eligible[-1]
-
-    def learn(self, server: EndpointId, latency: float) -> bool:
-        """An answered call: move its server's average, and the vector if the call paid off."""
-        i = self._index.get(server)
-        if i is None:
-            return False
-        threshold = self._move(i, latency)
-        if latency >= threshold:
-            return False
-        r = len(self.p)
-        theta, p_min = self.theta, FLOOR_SHARE / r
-        p_max = 1.0 - (r - 1) * p_min
-        mine = self.p[i]
-        self.p = [x + theta * (p_min - x) for x in self.p]
-        self.p[i] = mine + theta * (p_max - mine)
-        if self.theta_kind:
-            self._favour_kind(self._kinds[i], p_min)
-        return True
-
-    def _favour_kind(self, kind: int, p_min: float) -> None:
-        """A payoff speaks for the servers listed as of the same kind, too: their shares grow in proportion.
-
-        Guards against a fleet in which a node's calls to any one server are too few to tell slow machines
-        from fast ones before the slow are driven into the ground, seen within four seconds at full size.
-        """
-        theta, kinds = self.theta_kind, self._kinds
-        same = sum(x for x, k in zip(self.p, kinds, strict=True) if k == kind)
-        lost = theta * (1.0 - same - p_min * (len(kinds) - kinds.count(kind)))
-        grow = 1.0 + lost / same
-        self.p = [
-            x * grow if k == kind else x + theta * (p_min - x) for x, k in zip(self.p, kinds, strict=True)
-        ]
-
-    def charge(self, server: EndpointId, latency: float) -> None:
-        """A failed call: a miss.  A fast error must not look quick, nor a silence lift the threshold."""
-        i = self._index.get(server)
-        mean = self.mean()
-        if i is not None and mean is not None:
-            self._move(i, min(max(latency, mean), CHARGE_CAP * mean))
-
-    def _move(self, i: int, latency: float) -> float:
-        """Move the chosen server's average only; returns the threshold for this call."""
-        mean = self.mean()
-        if mean is None:  # the first answer of all is every server's starting value
-            self.average = [latency] * len(self.average)
-            return latency
-        old = self.average[i]
-        start = mean if old is None else old
-        self.average[i] = start + self.alpha * (latency - start)
-        return self.mean() or latency
-
-    def resize(
-        self, weights: Mapping[EndpointId, float], kinds: Mapping[EndpointId, int] | None = None
-    ) -> None:
-        """Take in a new set of servers: the others keep their ratios, a newcomer gets a modest share."""
-        stay = [s for s in self.servers if s in weights]
-        ratios: list[float] = [self.p[self._index[s]] for s in stay]
-        averages: list[float | None] = [self.average[self._index[s]] for s in stay]
-        new = [s for s in weights if s not in self._index]
-        unit = NEWCOMER_SHARE * sum(ratios) / sum(weights[s] for s in stay) if stay else 1.0
-        self.servers = stay + new
-        self.average = averages + [None] * len(new)
-        self._index = {s: i for i, s in enumerate(self.servers)}
-        self.p = _floored(ratios + [unit * weights[s] for s in new])
-        self._kinds = [kinds[s] if kinds else 0 for s in self.servers]
-        if self.servers:
-            of_nodes = THETA_NODES * self._nodes
-            self.theta = min(max(THETA_SHARE, of_nodes) / len(self.p), THETA_MOST * self.alpha)
-            different = len(set(self._kinds))
-            step = min(of_nodes / different, THETA_KIND_MOST * self.alpha)
-            self.theta_kind = step if different > 1 else 0.0
-
-
-def _floored(ratios: Sequence[float]) -> list[float]:
-    """Shares that sum to 1 and keep the ratios of all that stand above the floor."""
-    r = len(ratios)
-    if not r:
-        return []
-    p_min = FLOOR_SHARE / r
-    low: set[int] = set()
-    while True:
-        total = sum(x for i, x in enumerate(ratios) if i not in low)
-        scale = (1.0 - len(low) * p_min) / total if total > 0 else 0.0
-        under = {i for i, x in enumerate(ratios) if i not in low and x * scale < p_min}
-        if not under:
-            return [p_min if i in low else x * scale for i, x in enumerate(ratios)]
-        low |= under
-
-
 def _beyond_chance(rate: float) -> float:
     """What an average by FAIL_STEP reaches in a run of failures that is no chance at this usual rate."""
     run = math.log(FAIL_CHANCE) / math.log(rate) if rate > 0.0 else 0.0
@@ -272,54 +135,6 @@
     return out + 1 <= max(1.0, most * servers)
 
 
-# ---------------------------------------------------------------- small estimators
-
-
-@dataclass(slots=True)
-class Patience:
-    """Mean and mean deviation of served latencies: what an attempt may take before it is late."""
-
-    mean: float = 0.0
-    deviation: float = 0.0
-
-    def observe(self, latency: float) -> None:
-        if self.mean == 0.0:
-            self.mean, self.deviation = latency, latency / 2
-        else:
-            self.deviation += 0.1 * (abs(latency - self.mean) - self.deviation)
-            self.mean += 0.1 * (latency - self.mean)
-
-    def late(self) -> float:
-        return max(self.mean + DEVIATIONS * self.deviation, LATE_LEAST * self.mean) if self.mean else math.inf
-
-
-@dataclass(slots=True)
-class Rate:
-    """An exponentially fading count of units a millisecond, true from its first moments on."""
-
-    span: float
-    least: float = 1.0  # what came within less time than this, in milliseconds, counts as that long
-    start: float | None = None
-    count: float = 0.0
-    at: float = 0.0
-
-    def add(self, units: float, now: float) -> None:
-        if self.start is None:
-            self.start = now
-        self.count = self._faded(now) + units
-        self.at = now
-
-    def per_ms(self, now: float) -> float:
-        if self.start is None:
-            return 0.0
-        return self._faded(now) / (
-            self.span * (1.0 - math.exp(-max(now - self.start, self.least) / self.span))
-        )
-
-    def _faded(self, now: float) -> float:
-        return self.count * math.exp(-(now - self.at) / self.span) if self.count else 0.0
-
-
 # ---------------------------------------------------------------- state of servers and requests
 
 
@@ -424,12 +239,11 @@
         self._sharers = 1 if settings.tier_index else settings.node_count
         self._most_waiting = max(1.0, WAITING_MOST / self._sharers)
         self._can_repeat = any(c.idempotency is not Idempotency.NON_IDEMPOTENT for c in settings.classes)
-        self._patience = Patience()
-        self._class_patience = [Patience() for _ in settings.classes]
+        self._latencies = LatencyEstimates(settings.classes)
         self._cost = 0.0  # mean cost hint
         self._first_sent: float | None = None
         # Units answered: what is sent is more than servers bear when fewer of them are left.
-        self._borne = Rate(settings.warm_up_ms or 1000.0, settings.overload_window_ms)
+        self._borne = FadingRate(settings.warm_up_ms or 1000.0, settings.overload_window_ms)
         self._limit = 0.0  # set by the first list
         self._strained = False
         self._strain = 0.0
@@ -445,7 +259,7 @@
         self._answers = 0
         self._calm = math.inf
         self._least_usual = math.inf  # stands for it until it is known
-        self._served = Rate(self._aim)
+        self._served = FadingRate(self._aim)
         self._peak = 0.0  # best recent rate of answers a millisecond
         self._peak_at = 0.0
         self._retry_tokens = RETRY_MOST / 2
@@ -548,7 +362,7 @@
             if s.listed
         }
         self.automaton.resize(weights, {name: self._servers[name].entry.machine_type for name in weights})
-        self._arms = [self._servers[name] for name in self.automaton.servers]
+        self._arms = [self._servers[name] for name in self.automaton.endpoints]
         self._choose_home()
         if not self._strained:
             # All nodes of the tier start alike: each takes its part of what the fleet may hold.
@@ -726,7 +540,7 @@
         p, averages = self.automaton.p, self.automaton.average
         mean = self.automaton.mean() or 0.0
         total = len(self._attempts)
-        late = self._patience.late()
+        late = self._latencies.overall.attempt_timeout()
         flow: float | None = None  # counted once, and only if a server is cold
         for i, server in enumerate(self._arms):
             if not self._permitted(request, server):
@@ -905,13 +719,13 @@
         much as the work or the tables of connections are full: not while latencies are past their part of
         the aim (simulated overload 0.87 -> 0.72 without this bound).
         """
-        unheard = self._now - server.heard > self._patience.mean
+        unheard = self._now - server.heard > self._latencies.overall.mean
         return unheard and self._pressure < 1.0 and not request.repeatable()
 
     def _watch(self, request: Request) -> None:
         """Look again when the attempt is late, if another could still be answered."""
-        patience = self._class_patience[request.class_index]
-        look = self._now + patience.late()
+        patience = self._latencies.by_class[request.class_index]
+        look = self._now + patience.attempt_timeout()
         if (
             request.repeatable()
             and len(request.attempts) < self.settings.max_attempts
@@ -928,7 +742,7 @@
         in an inner tier a few answers of twice the calmest mean are no jam, and a call to a vanished machine
         waited there for its deadline.  What does not hold now may hold at the next look.
         """
-        late = self._class_patience[request.class_index].late()
+        late = self._latencies.by_class[request.class_index].attempt_timeout()
         out = [self._servers[a.entry.id] for a in request.attempts if a.ended is None]
         if all(self._silent(s, late) for s in out) and self._retry_tokens >= 1.0 and self._pressure < 1.0:
             if not self.settings.hedging_allowed:
@@ -998,7 +812,7 @@
     def _again_or_finish(self, request: Request, outcome: Outcome) -> None:
         left = request.deadline - self._now
         risky = any(a.may_have_run() for a in request.attempts)
-        mean = self._class_patience[request.class_index].mean
+        mean = self._latencies.by_class[request.class_index].mean
         costs = risky or outcome is Outcome.REJECTED  # an attempt that no server saw costs nothing to repeat
         if (
             outcome is not Outcome.CLIENT_ERROR
@@ -1016,7 +830,8 @@
     def _judge(self, server: Server, attempt: Attempt, event: AttemptEnded, request: Request | None) -> None:
         """What an outcome says of its server, its class and the load."""
         outcome, elapsed, name = event.outcome, event.elapsed_ms, server.entry.id
-        if elapsed > self._patience.late() and self._now - server.heard >= elapsed:
+        timeout = self._latencies.overall.attempt_timeout()
+        if elapsed > timeout and self._now - server.heard >= elapsed:
             # All that is known of it is this one late outcome: where calls are few, an average of
             # seven spans most of a minute, and what crowded or stopped the server is still there.
             self._rest(server, LATE_REST * elapsed)
@@ -1025,10 +840,10 @@
             server.heard = self._now
             server.turned_away = 0
             server.ceiling += CEILING_UP / server.ceiling
-            self._patience.observe(elapsed)
+            self._latencies.overall.observe(elapsed)
             aim = self._aim
             if request is not None:
-                self._class_patience[request.class_index].observe(elapsed)
+                self._latencies.by_class[request.class_index].observe(elapsed)
                 aim = request.kind.latency_objective_ms
             # Heavy work says little of its server or the load: what the cost hint foretold is half taken out.
             usual = elapsed / (0.5 + 0.5 * attempt.units)
@@ -1038,7 +853,7 @@
             self.automaton.learn(name, usual)
             self._succeeded(server, server.classes[attempt.class_index])
         elif outcome is Outcome.REJECTED or (
-            outcome is Outcome.CONNECT_FAILED and self._now - server.heard < self._patience.late()
+            outcome is Outcome.CONNECT_FAILED and self._now - server.heard < timeout
         ):
             # A server that answers others but takes no further call, or no further connection, is full, not
             # dead.  Without a ceiling thousands of calls a second bounced off such servers, at the cost of
@@ -1066,11 +881,11 @@
             # What was given up took at least this long: leaving it out would shorten patience for the next.
             if request is None:
                 return  # withdrawn because another copy was quicker
-            self._patience.observe(elapsed)
-            self._class_patience[request.class_index].observe(elapsed)
+            self._latencies.overall.observe(elapsed)
+            self._latencies.by_class[request.class_index].observe(elapsed)
             self._feel(elapsed / request.kind.latency_objective_ms)
             self.automaton.charge(name, elapsed)
-            if current and elapsed >= self._patience.late():
+            if current and elapsed >= self._latencies.overall.attempt_timeout():
                 self._failed(server, outcome)
 
     def _rest(self, server: Server, span: float) -> None:
@@ -1243,7 +1058,7 @@
         if self._calm_known():
             # A count of n is known to within its root: the best of few answers is mostly luck.
             rate = self._served.per_ms(self._now)
-            self._peak = max(self._peak * fade, rate - math.sqrt(rate / self._served.span))
+            self._peak = max(self._peak * fade, rate - math.sqrt(rate / self._served.span_ms))
             self._calm = min(self._calm, self._usual)
             self._calm += CALM_FADE * (self._usual - self._calm)
             self._calm_lateness = min(self._calm_lateness, self._lateness)
@@ -1267,7 +1082,7 @@
         self._strain = max(self._pressure, self._level / calm if calm > 0 else 0.0)
         # Not by the mean latency alone: in a jam that grows to the callers' deadline, and cuts that waited
         # for it came every five seconds, while four hundred nodes went on feeding queues of dead calls.
-        if now - self._limit_at < min(self._patience.mean, TIMES_CALM * self._calm, self._aim):
+        if now - self._limit_at < min(self._latencies.overall.mean, TIMES_CALM * self._calm, self._aim):
             return
         self._limit_at = now
         out = len(self._attempts) + 1
--- a/tests/test_automaton.py
+++ b/tests/test_automaton.py
@@ -8,7 +8,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from load_balancer.policy.balancer import (
+from load_balancer.policy.automaton import (
     ALPHA,
     CHARGE_CAP,
     FLOOR_SHARE,
@@ -50,14 +50,14 @@
     a.resize(dict.fromkeys(NAMES[:servers], 1.0))
     assert a.theta <= a.alpha / 10 and ALPHA <= a.alpha <= 0.5
     assert a.theta == pytest.approx(min(a.alpha / 10, max(0.06, 0.02 * nodes) / servers))
-    assert a.theta_kind == 0.0
+    assert a.theta_type == 0.0
     a.resize(dict.fromkeys(NAMES[:servers], 1.0), {name: i % 2 for i, name in enumerate(NAMES[:servers])})
-    assert a.theta_kind == pytest.approx(min(a.alpha / 3, 0.01 * nodes))
+    assert a.theta_type == pytest.approx(min(a.alpha / 3, 0.01 * nodes))
 
 
 def test_a_payoff_speaks_for_the_listed_kind() -> None:
     """Seen at full size: no server got calls enough to be told from another, but their kinds differed."""
-    a = Automaton(nodes=30)
+    a = Automaton(node_count=30)
     a.resize(dict.fromkeys(NAMES[:6], 1.0), {name: i // 3 for i, name in enumerate(NAMES[:6])})
     a.learn(NAMES[5], 100.0)
     assert a.learn(NAMES[0], 50.0)
@@ -74,7 +74,7 @@
     rng = random.Random(4)
     slow = 0.0
     for _ in range(60):
-        a = Automaton(nodes=60)
+        a = Automaton(node_count=60)
         a.resize(dict.fromkeys(NAMES[:20], 1.0))
         for _ in range(120):
             i = a.draw(range(20), rng.random())
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -77,7 +77,7 @@
         isinstance(a, RejectRequest | CancelAttempt | CloseIdleConnections) for a in play.log
     )
     p = play.balancer.automaton.p
-    for server, share in zip(play.balancer.automaton.servers, p, strict=True):
+    for server, share in zip(play.balancer.automaton.endpoints, p, strict=True):
         assert abs(sends.count(server) / 3000 - share) < 0.08
     assert texts(play) == []
 
@@ -639,7 +639,7 @@
     settings = Settings(classes=(SAFE,), node_count=1500, node_index=1400)
     play = Surrounding(settings, seed=3)
     play.list_of([Endpoint(b"%d" % i) for i in range(1500)])
-    assert len(play.balancer.automaton.servers) == 1500
+    assert len(play.balancer.automaton.endpoints) == 1500
     assert abs(sum(play.balancer.automaton.p) - 1.0) < 1e-9
     request = play.arrive()
     assert play.live(request)
