Give each part of the policy a module that owns its state

Change: endpoint list, slow start, subset, outliers, congestion, admission, selection, retries and outcomes are classes of their own on a shared context; records, timers, queue and averages, which decide nothing, leave the policy. The error text of an attempt that was not out stays. Tests follow the names; the patches of private methods in the tests of the node and of races now name the parts' public ones.

--- a/load_balancer/policy/automaton.py
+++ b/load_balancer/policy/automaton.py
@@ -1,14 +1,12 @@
-"""The two-time-scale learning automaton that spreads attempts over endpoints.
+"""The two-time-scale learning automaton that spreads attempts over endpoints, in the published symbols.
 
-The symbols of the published algorithm keep their names: p is the probability vector, r its length, alpha the
-step of the averages, theta the step of the vector and p_min its floor.
+p is the vector, r its length and p_min its floor; alpha is the step of the averages, theta of the vector.
 """
 
-from __future__ import annotations
-
 from collections.abc import Mapping, Sequence
 
 from load_balancer.events import EndpointId
+from load_balancer.probability import floored
 
 # A node sees few answers over many endpoints, so both steps are far above the published ones.
 ALPHA = 0.15  # an average spans about seven of its endpoint's answers
@@ -27,36 +25,15 @@
 
 
 class Automaton:
-    """A floored probability vector over endpoints and a latency average for each.
-
-    Attributes:
-        endpoints: the ids in the order of the vector.
-        p: the probability vector.
-        average: the latency average of each endpoint; None before an answer counts as the mean of the others.
-        alpha: the step of the averages.
-        theta: the step of the vector.
-        theta_type: the step between machine types, 0 where all are of one type.
-    """
-
-    __slots__ = (
-        "_index",
-        "_node_count",
-        "_types",
-        "alpha",
-        "average",
-        "endpoints",
-        "p",
-        "theta",
-        "theta_type",
-    )
+    """A floored probability vector over endpoints and a latency average for each."""
 
     def __init__(self, node_count: int = 1) -> None:
-        self.endpoints: list[EndpointId] = []
+        self.endpoints: list[EndpointId] = []  # in the order of the vector
         self.p: list[float] = []
-        self.average: list[float | None] = []
+        self.average: list[float | None] = []  # None: no answer yet, counts as the mean of the others
         self.alpha = min(max(ALPHA, ALPHA_NODES * node_count), ALPHA_MAX)
         self.theta = 0.0  # the steps are set with the endpoints
-        self.theta_type = 0.0
+        self.theta_type = 0.0  # between machine types; 0 where all are of one type
         self._node_count = node_count
         self._types: list[int] = []
         self._index: dict[EndpointId, int] = {}
@@ -113,7 +90,8 @@
         self.endpoints = stay + new
         self.average = averages + [None] * len(new)
         self._index = {s: i for i, s in enumerate(self.endpoints)}
-        self.p = _floored(ratios + [unit * weights[s] for s in new])
+        count = len(self.endpoints)
+        self.p = floored(ratios + [unit * weights[s] for s in new], FLOOR_SHARE / count if count else 0.0)
         self._types = [types[s] if types else 0 for s in self.endpoints]
         if self.endpoints:
             of_nodes = THETA_NODES * self._node_count
@@ -129,13 +107,11 @@
         from fast ones before the slow are overloaded, seen within four seconds at full size.
         """
         theta, types = self.theta_type, self._types
-        same = sum(x for x, k in zip(self.p, types, strict=True) if k == machine_type)
+        pairs = list(zip(self.p, types, strict=True))
+        same = sum(x for x, k in pairs if k == machine_type)
         lost = theta * (1.0 - same - p_min * (len(types) - types.count(machine_type)))
         grow = 1.0 + lost / same
-        self.p = [
-            x * grow if k == machine_type else x + theta * (p_min - x)
-            for x, k in zip(self.p, types, strict=True)
-        ]
+        self.p = [x * grow if k == machine_type else x + theta * (p_min - x) for x, k in pairs]
 
     def _move_average(self, i: int, latency: float) -> float:
         """Move the chosen endpoint's average only; returns the threshold for this answer."""
@@ -147,19 +123,3 @@
         start = mean if old is None else old
         self.average[i] = start + self.alpha * (latency - start)
         return self.mean() or latency
-
-
-def _floored(ratios: Sequence[float]) -> list[float]:
-    """Shares that sum to 1 and keep the ratios of all that stand above the floor."""
-    r = len(ratios)
-    if not r:
-        return []
-    p_min = FLOOR_SHARE / r
-    low: set[int] = set()
-    while True:
-        total = sum(x for i, x in enumerate(ratios) if i not in low)
-        scale = (1.0 - len(low) * p_min) / total if total > 0 else 0.0
-        under = {i for i, x in enumerate(ratios) if i not in low and x * scale < p_min}
-        if not under:
-            return [p_min if i in low else x * scale for i, x in enumerate(ratios)]
-        low |= under
--- /dev/null
+++ b/load_balancer/policy/slow_start.py
@@ -0,0 +1,54 @@
+"""Slow start: the budget of a server that warms up."""
+
+from load_balancer.context import NodeContext
+from load_balancer.rates import FadingRate
+from load_balancer.records import EndpointRecord
+
+# The capacity that the settings give a warming server is the least of any: most have half as much again, and
+# fleets have capacity to spare while they are calm, which is when a warm server's part is learned.
+SLOW_START_MARGIN = 1.5
+
+
+class SlowStart:
+    """Bounds what warming servers get by what this node sends to warm ones."""
+
+    def __init__(self, context: NodeContext) -> None:
+        self._context = context
+        settings = context.settings
+        # By the work answered: what is sent is more than servers bear when fewer of them are left.
+        self._answered_work = FadingRate(settings.warm_up_ms or 1000.0, settings.overload_window_ms)
+
+    def record_answer(self, work: float) -> None:
+        """Count the work of an answered attempt."""
+        self._answered_work.add(work, self._context.now)
+
+    def capacity_fraction(self, record: EndpointRecord) -> float:
+        """The part of its capacity that a server has at the least by now: 1 once it is warm."""
+        start, settings = record.endpoint.started_ms, self._context.settings
+        if start <= 0 or self._context.now - start >= settings.warm_up_ms:
+            return 1.0
+        low = settings.initial_capacity
+        return low + (1.0 - low) * max(self._context.now - start, 0.0) / settings.warm_up_ms
+
+    def total_capacity(self) -> float:
+        """What the servers that are not ejected can do by now at the least, in warm servers."""
+        fraction = self.capacity_fraction
+        return max(1.0, sum(fraction(r) for r in self._context.endpoints.drawable if not r.ejected))
+
+    def flow_per_warm_server(self) -> float:
+        """Work a millisecond that this node sends for each warm server's worth of capacity."""
+        return self._answered_work.per_ms(self._context.now) / self.total_capacity()
+
+    def admits(self, record: EndpointRecord, fraction: float, work: float, flow: float) -> bool:
+        """Whether a warming server may get an attempt: the rising part of a warm one's flow, with a margin.
+
+        Every node does so alone; together they then send it its part of what warm servers bear, which
+        leaves the rest of the multiple that it survives as a margin for chance and for heavy requests.
+        """
+        now, settings = self._context.now, self._context.settings
+        rate = min(SLOW_START_MARGIN, 0.5 * settings.overload_multiple) * fraction * flow
+        most = max(1.0, rate * settings.overload_window_ms)
+        elapsed = now - record.slow_start_tokens_at
+        record.slow_start_tokens = min(most, record.slow_start_tokens + rate * elapsed)
+        record.slow_start_tokens_at = now
+        return record.slow_start_tokens >= min(work, most)
--- a/load_balancer/rates.py
+++ b/load_balancer/rates.py
@@ -1,4 +1,4 @@
-"""A count of units over time, as an exponentially fading rate."""
+"""Rates of units over time: a fading count and a token bucket."""
 
 from __future__ import annotations
 
@@ -41,3 +41,29 @@
 
     def _faded(self, now: float) -> float:
         return self.count * math.exp(-(now - self.counted_at) / self.span_ms) if self.count else 0.0
+
+
+@dataclass(slots=True)
+class TokenBucket:
+    """A bucket that fills at a rate and holds a second's tokens.
+
+    Attributes:
+        per_s: tokens a second.
+        tokens: the tokens as of filled_at.
+        filled_at: when it was last brought up to date.
+    """
+
+    per_s: float
+    tokens: float
+    filled_at: float = 0.0
+
+    def take(self, now: float) -> bool:
+        """Take a token out, if there is a whole one; a bucket without a rate never runs dry."""
+        if self.per_s <= 0:
+            return True
+        self.tokens = min(self.per_s, self.tokens + (now - self.filled_at) * self.per_s / 1000.0)
+        self.filled_at = now
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
--- /dev/null
+++ b/load_balancer/records.py
@@ -0,0 +1,264 @@
+"""The records that a node keeps of requests, attempts and endpoints; times are in milliseconds."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+
+from load_balancer.events import (
+    NOT_EXECUTED,
+    AttemptEnded,
+    Endpoint,
+    EndpointId,
+    EndpointListKind,
+    EndpointListUpdate,
+    EndpointState,
+    Outcome,
+    RequestArrived,
+    RequestId,
+    ResponseStarted,
+    UnexpectedEventError,
+)
+from load_balancer.settings import DeduplicationScope, Idempotency, RequestClass
+
+AttemptKey = tuple[RequestId, int]
+"""A request's id and the number of one of its attempts, from 0."""
+
+
+@dataclass(slots=True)
+class ClassRecord:
+    """How an endpoint does with one class of requests.
+
+    Attributes:
+        failure_rate: a short average of failures that count against the class.
+        usual_failure_rate: the same over more answers, malformed ones among them.
+        served: the endpoint has served the class since its process started.
+        open_until: until when the circuit breaker keeps the class away.
+        half_open: the breaker was open, and no attempt has succeeded since.
+        consecutive_openings: how often the breaker opened without a recovery.
+        in_flight: this node's attempts of the class at the endpoint.
+    """
+
+    failure_rate: float = 0.0
+    usual_failure_rate: float = 0.0
+    served: bool = False
+    open_until: float = -math.inf
+    half_open: bool = False
+    consecutive_openings: int = 0
+    in_flight: int = 0
+
+
+@dataclass(slots=True)
+class EndpointRecord:
+    """What this node knows of an endpoint.
+
+    Attributes:
+        endpoint: its row in the endpoint list.
+        classes: how it does with each class, by class index.
+        listed: it is in the list and serving.
+        in_flight: this node's attempts there and when each was sent, oldest first.
+        last_response_at: when it last answered anything.
+        failure_rate: a short average of its failures.
+        ejected: it is out of service as an outlier.
+        on_trial: it was readmitted, and no attempt has succeeded since.
+        consecutive_ejections: how often it was ejected without a recovery.
+        cooldown_until: until when it is skipped.
+        consecutive_rejections: attempts that it rejected since it last served one.
+        concurrency_limit: attempts of this node that it is known to take, once it has rejected one.
+        slow_start_tokens: its budget while it warms up, in requests of mean work.
+        slow_start_tokens_at: when that budget was last brought up to date.
+    """
+
+    endpoint: Endpoint
+    classes: list[ClassRecord]
+    listed: bool = True
+    in_flight: dict[AttemptKey, float] = field(default_factory=dict)
+    last_response_at: float = -math.inf
+    failure_rate: float = 0.0
+    ejected: bool = False
+    on_trial: bool = False
+    consecutive_ejections: int = 0
+    cooldown_until: float = -math.inf
+    consecutive_rejections: int = 0
+    concurrency_limit: float = math.inf
+    slow_start_tokens: float = 0.0
+    slow_start_tokens_at: float = 0.0
+
+    def restart(self, now: float) -> None:
+        """Forget what counted against the process that a new one has replaced."""
+        self.failure_rate, self.consecutive_ejections = 0.0, 0
+        self.ejected = self.on_trial = False
+        self.classes = [ClassRecord(in_flight=c.in_flight) for c in self.classes]
+        self.last_response_at = now
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One attempt of a request.
+
+    Attributes:
+        record: the record of the endpoint that it was sent to.
+        endpoint: that endpoint's row in the list at the time.
+        sent_at: when it was sent.
+        work: its work, as a multiple of the mean request's.
+        class_index: its request's class.
+        outcome: how it ended, None while it is in flight.
+    """
+
+    record: EndpointRecord
+    endpoint: Endpoint
+    sent_at: float
+    work: float
+    class_index: int
+    outcome: Outcome | None = None
+
+    def may_have_run(self) -> bool:
+        """Whether its server may have executed it."""
+        return self.outcome is None or self.outcome not in NOT_EXECUTED
+
+    def process_replaced(self) -> bool:
+        """Whether the server has restarted since the attempt was sent."""
+        return self.endpoint.started_ms != self.record.endpoint.started_ms
+
+
+@dataclass(slots=True)
+class Request:
+    """A request that this node owes an answer.
+
+    Attributes:
+        id: the host's number for it.
+        request_class: its class.
+        class_index: that class's position in the settings.
+        deadline: until when an answer is of use.
+        work: its work, as a multiple of the mean request's.
+        priority: what an answer is worth, for its order in the queue.
+        sequence: its place in the order of arrival.
+        admission_draw: a number in [0, 1) that settles the fraction of the concurrency limit.
+        attempts: its attempts in order.
+        in_flight: how many of them are in flight.
+        queued: it waits to be placed.
+        queued_until: until when it may wait.
+        response_started: a streamed response has begun.
+    """
+
+    id: RequestId
+    request_class: RequestClass
+    class_index: int
+    deadline: float
+    work: float
+    priority: float
+    sequence: int
+    admission_draw: float
+    attempts: list[Attempt] = field(default_factory=list)
+    in_flight: int = 0
+    queued: bool = False
+    queued_until: float = 0.0
+    response_started: bool = False
+
+    def repeatable(self) -> bool:
+        """Whether its class allows a second execution under any condition."""
+        return self.request_class.idempotency is not Idempotency.NON_IDEMPOTENT
+
+    def repeatable_anywhere(self) -> bool:
+        """Whether a second execution does no harm, whichever server it is at."""
+        if self.request_class.idempotency is Idempotency.KEYED:
+            return self.request_class.deduplication_scope is DeduplicationScope.ALL
+        return self.request_class.idempotency is Idempotency.IDEMPOTENT
+
+    def first_possible_run(self) -> Attempt | None:
+        """The first attempt that a server may have executed."""
+        return next((attempt for attempt in self.attempts if attempt.may_have_run()), None)
+
+    def running(self) -> list[tuple[int, Attempt]]:
+        """The attempts that are in flight, each with its number."""
+        return [(number, a) for number, a in enumerate(self.attempts) if a.outcome is None]
+
+
+class EndpointTable:
+    """The records of endpoints.
+
+    Attributes:
+        by_id: all that are listed or have attempts in flight.
+        drawable: those that are listed, in the order of the probability vector.
+    """
+
+    def __init__(self) -> None:
+        self.by_id: dict[EndpointId, EndpointRecord] = {}
+        self.drawable: list[EndpointRecord] = []
+
+    def apply(self, update: EndpointListUpdate, class_count: int, now: float) -> list[EndpointRecord]:
+        """Take in an endpoint list; the records of endpoints that are new or have restarted.
+
+        What has gone and has nothing in flight is forgotten: over a long day new ids come without end.
+        """
+        started: list[EndpointRecord] = []
+        if update.kind is not EndpointListKind.DELTA:
+            named = {endpoint.id for endpoint in update.endpoints}
+            for endpoint_id, record in self.by_id.items():
+                if endpoint_id not in named:
+                    record.listed = False
+        for endpoint in update.endpoints:
+            known = self.by_id.get(endpoint.id)
+            record = known or EndpointRecord(endpoint, [ClassRecord() for _ in range(class_count)])
+            if known is None:
+                self.by_id[endpoint.id] = record
+                started.append(record)
+            elif endpoint.started_ms > known.endpoint.started_ms:
+                known.restart(now)
+                started.append(known)
+            record.endpoint, record.listed = endpoint, endpoint.state is EndpointState.SERVING
+        self.by_id = {name: r for name, r in self.by_id.items() if r.listed or r.in_flight}
+        return started
+
+
+class RequestTable:
+    """The requests that are owed an answer, and all attempts in flight.
+
+    Attributes:
+        by_id: the requests.
+        attempts: the attempts in flight, also those of requests that have their answer.
+    """
+
+    def __init__(self) -> None:
+        self.by_id: dict[RequestId, Request] = {}
+        self.attempts: dict[AttemptKey, Attempt] = {}
+
+    def check_arrival(self, event: RequestArrived, class_count: int) -> None:
+        """Raise UnexpectedEventError for a request of an unknown class, or one that has arrived before."""
+        if not 0 <= event.class_index < class_count:
+            raise UnexpectedEventError(f"request {event.request_id} is of unknown class {event.class_index}")
+        if event.request_id in self.by_id:
+            raise UnexpectedEventError(f"request {event.request_id} arrived twice")
+
+    def start_attempt(self, request: Request, record: EndpointRecord, now: float) -> None:
+        """Enter the next attempt of a request."""
+        key = (request.id, len(request.attempts))
+        attempt = Attempt(record, record.endpoint, now, request.work, request.class_index)
+        self.attempts[key] = attempt
+        request.attempts.append(attempt)
+        request.in_flight += 1
+        record.in_flight[key] = now
+        record.classes[request.class_index].in_flight += 1
+
+    def attempt(self, event: ResponseStarted | AttemptEnded) -> Attempt:
+        """The attempt that an event is about.
+
+        Raises:
+            UnexpectedEventError: it is not in flight.
+        """
+        attempt = self.attempts.get((event.request_id, event.attempt_number))
+        if attempt is None:
+            raise UnexpectedEventError(
+                f"attempt {event.attempt_number} of request {event.request_id} was not out"
+            )
+        return attempt
+
+    def end_attempt(self, event: AttemptEnded) -> Attempt:
+        """Take an attempt out that has ended; UnexpectedEventError where it is not in flight."""
+        attempt = self.attempt(event)
+        key = (event.request_id, event.attempt_number)
+        del self.attempts[key]
+        del attempt.record.in_flight[key]
+        attempt.record.classes[attempt.class_index].in_flight -= 1
+        attempt.outcome = event.outcome
+        return attempt
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -28,7 +28,7 @@
     Outcome,
     RequestArrived,
 )
-from load_balancer.policy.balancer import BUDGET_PLUS, BUDGET_TIMES
+from load_balancer.policy.selection import SHARE_PLUS, SHARE_TIMES
 from load_balancer.settings import Idempotency, RequestClass, Settings, Tenant
 from tests.checker import Owed, Surrounding
 
@@ -251,7 +251,7 @@
         for tried in owed.attempts:
             held[tried.entry.id[0]] += 1
     assert sum(held) == 25
-    assert max(held) <= BUDGET_PLUS + BUDGET_TIMES * 25 / 5 + 1
+    assert max(held) <= SHARE_PLUS + SHARE_TIMES * 25 / 5 + 1
 
 
 def test_a_full_server_gets_a_ceiling_and_is_not_ejected() -> None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -115,7 +115,7 @@
     async def main() -> None:
         async with StubServer([reply("200 OK"), reset]) as server, world(row("a", server.address)) as w:
             # However slow the machine is between the two, the second goes out on the idle connection.
-            monkeypatch.setattr(w.node._balancer, "_doubts", lambda *_: False)
+            monkeypatch.setattr(w.node._balancer.retries, "needs_new_connection", lambda *_: False)
             caller = await w.caller()
             assert (await caller.ask("book")).status == 200
             assert (await caller.ask("book")).status == 502
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -98,7 +98,7 @@
     balancer = node._balancer
     on_timer = balancer._on_timer
     balancer._on_timer = lambda: balancer._send(  # type: ignore[method-assign,assignment]
-        balancer._requests[number], balancer._servers[server]
+        balancer.context.requests.by_id[number], balancer.context.endpoints.by_id[server]
     )
     node._post(TimerFired(0))
     balancer._on_timer = on_timer  # type: ignore[method-assign]
@@ -279,7 +279,8 @@
             ((_, call),) = w.node._calls.items()
             call.give_up(outcome)
             assert not w.node._requests and not w.node._calls and not w.node._held
-            assert not w.node._balancer._requests and not w.node._balancer._attempts
+            requests = w.node._balancer.context.requests
+            assert not requests.by_id and not requests.attempts
             await until(lambda: not w.node._callers._open)
             assert len(one.received) + len(two.received) == 1
 
@@ -296,11 +297,11 @@
             monkeypatch.setattr(w.node._balancer, "_place", lambda *_: False)
             monkeypatch.setattr(w.node._balancer, "_expire", lambda _: None)
             caller = _blocking(w.address)
-            await until(lambda: w.node._balancer._queue)
+            await until(lambda: w.node._balancer.queue)
             caller.close()
             monkeypatch.undo()
             w.node._post(TimerFired(0))
-            assert not w.node._requests and not w.node._calls and not w.node._balancer._queue
+            assert not w.node._requests and not w.node._calls and not w.node._balancer.queue
             await until(lambda: not w.node._callers._open)
             assert not server.received
 
@@ -601,7 +602,8 @@
             os.write(server.writers[0].get_extra_info("socket").fileno(), text)
             caller.close()
             await until(lambda: not w.node._requests and not w.node._calls and not w.node._callers._open)
-            assert not w.node._held and not w.node._balancer._attempts and not w.node._balancer._requests
+            requests = w.node._balancer.context.requests
+            assert not w.node._held and not requests.attempts and not requests.by_id
             server.release.set()
 
     run(main())
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -268,18 +268,22 @@
         play = make(EFFECTS[0], hedging_allowed=duplicate, max_attempts=2)
         play.list_of(rows(3))
         node = play.balancer
-        request = node._requests[play.arrive()]
-        other, drained = (s for s in node._arms if s.entry.id != request.attempts[0].entry.id)
-        play.list_of([Endpoint(drained.entry.id, EndpointState.DRAINING)], EndpointListKind.DELTA)
+        request = node.context.requests.by_id[play.arrive()]
+        other, drained = (
+            record
+            for record in node.context.endpoints.drawable
+            if record.endpoint.id != request.attempts[0].endpoint.id
+        )
+        play.list_of([Endpoint(drained.endpoint.id, EndpointState.DRAINING)], EndpointListKind.DELTA)
         assert not node._send(request, drained)
         assert node._send(request, other) is duplicate  # a second copy while the first is out
         assert not duplicate or not node._send(request, other)  # and no more than the attempts allowed
         request.deadline = play.now + 1.0
         assert not node._send(request, other)
         node._finish(request)
-        actions = len(node._actions)
+        actions = len(node.context.actions)
         node._finish(request)
-        assert len(node._actions) == actions  # one final answer
+        assert len(node.context.actions) == actions  # one final answer
         assert not node._send(request, other)
 
 
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from load_balancer.policy.balancer import ASK_MOST_MS
+from load_balancer.policy.endpoints import POLL_BACKOFF_MAX_MS
 from load_balancer.proxy import discovery
 from load_balancer.proxy.discovery import ListError, Naming
 from load_balancer.proxy.json_stream import MAX_OBJECT, GarbledError, Objects
@@ -94,7 +94,7 @@
 def test_a_silent_watch_and_two_failed_calls_leave_time_for_a_third() -> None:
     """With the longest waits and pauses, where lists are pushed and where they are asked for."""
     pushed = discovery.ANSWER_MOST_S + discovery.REWATCH_MOST_S
-    asked = discovery.ANSWER_MOST_S + ASK_MOST_MS / 1000.0
+    asked = discovery.ANSWER_MOST_S + POLL_BACKOFF_MAX_MS / 1000.0
     assert discovery.HEARTBEAT_S < discovery.SILENCE_S <= TOLD_S - 2 * pushed
     assert 2 * asked < TOLD_S and discovery.SILENCE_S + asked < TOLD_S
 
