Name the remaining tuning constants and let parts spend their own budgets

Cause: the pauses of circuit breakers and of ejections were computed twice, the dispatcher changed the state of two parts, and comments kept words of the old vocabulary. Change: one function computes pauses; retries and slow start pay from their budgets themselves; comments reworded.

--- a/load_balancer/policy/admission.py
+++ b/load_balancer/policy/admission.py
@@ -1,4 +1,4 @@
-"""Admission control: tenant quotas, the queue by priority and the adaptive concurrency limit."""
+"""Admission control: tenant quotas, queue timeouts and the adaptive concurrency limit."""
 
 import math
 
@@ -12,10 +12,11 @@
 LIMIT_DOWN = 0.9
 LIMIT_DOWN_MAX = 0.5  # a cut is as deep as the congestion, down to this
 LIMIT_UP = 1.05
+LIMIT_USED_MIN = 0.8  # part of the limit that must be in use for it to grow
 LIMIT_UP_START = 1.2  # the growth for each mean latency until the first congestion
 GROWTH_MARGIN = 1.65  # attempts in flight for each that the best rate needs at the baseline: no growth beyond
 CUT_MARGIN = 1.2  # margin over the attempts in flight that the best recent rate needs at the baseline latency
-# Attempts in flight for each warm server's worth of capacity, at the start, so that a restart opens no flood,
+# Attempts in flight for each warm server's worth of capacity, at the start, so that a restart is no overload,
 # and at the most where fewer are in work.  A server at which more than a few wait for seconds turns slow; how
 # many is not known.  It is right for two tiers: with more behind it a server holds more that wait for these.
 LIMIT_START = 6.0
@@ -84,11 +85,11 @@
         return (in_flight < self.limit or not learned) and in_flight < self.capacity_bound()
 
     def capacity_bound(self) -> float:
-        """Attempts in flight that the listed servers bear, however they are answered.
+        """Attempts in flight that the listed servers sustain, however quickly they answer.
 
         By Little's law as many are in work as are answered in the time of an answer when nothing queues.
         Where that is long they are more than a start's: a fleet whose answers took 1.3 s of an objective of
-        4.5 s rejected two of three requests on a calm day, with no congestion at all.
+        4.5 s rejected two of three requests at light load, with no congestion at all.
         """
         baseline, rate = self._monitor.baseline_latency, self._monitor.answer_rate
         baseline = baseline if baseline < math.inf else self._monitor.least_mean_latency
@@ -107,8 +108,8 @@
     def record_ratio(self, ratio: float) -> None:
         """Take in a latency as a part of its objective, and adjust the limit to the congestion.
 
-        Not by the mean latency alone: in a jam that grows to the clients' deadline, and cuts that waited
-        for it came every five seconds, while four hundred nodes went on feeding queues of dead requests.
+        Not once in a mean latency alone: under overload that grows to the clients' deadline, and the limit
+        was cut every five seconds only, while four hundred nodes went on sending what nobody waited for.
         """
         monitor, now = self._monitor, self._context.now
         monitor.record_ratio(ratio)
@@ -119,21 +120,21 @@
         if monitor.congestion > 1.0:
             self._was_congested = True
             self._cut()
-        elif len(self._context.requests.attempts) + 1 >= 0.8 * self.limit:
+        elif len(self._context.requests.attempts) + 1 >= LIMIT_USED_MIN * self.limit:
             self._grow()
         self._report_shedding(monitor.congestion > 1.0)
 
     def _least(self) -> float:
         """The least limit: with an attempt at each server for every tier to come its core is just kept busy.
 
-        At one attempt a front that had taken a lucky start for its baseline shed 40% all day.
+        At one attempt a front that had taken its first quick answers for the baseline shed 40% all day.
         """
         return self._tiers_left * len(self._context.endpoints.drawable) / self._sharers
 
     def _cut(self) -> None:
         """Cut at most to what was in flight when as much was answered without a queue, times a margin."""
         monitor = self._monitor
-        # Repeated blind cuts shed at random, and what they let back in jams the servers again.
+        # Repeated blind cuts shed at random, and what is then admitted overloads the servers again.
         quiet_latency = min(monitor.baseline_latency, monitor.mean_latency)
         enough = CUT_MARGIN * monitor.peak_rate * monitor.peak_fade() * quiet_latency
         down = min(LIMIT_DOWN, max(LIMIT_DOWN_MAX, 1.0 / monitor.congestion))
@@ -141,7 +142,7 @@
         reach = max(1.0, monitor.mean_in_flight + math.sqrt(monitor.mean_in_flight))
         # While latencies meet their target, to no less than a node starts with: they are twice the baseline
         # in a burst of heavy work, and lower limits halved the rate of answers at a third of the objective,
-        # and rejected the rest.  It could hurt where servers bear far fewer attempts than LIMIT_START.
+        # and rejected the rest.  It could hurt where servers sustain far fewer attempts than LIMIT_START.
         least = self._least()
         if monitor.target_pressure < 1.0:
             least = max(least, self.start_limit())
--- a/load_balancer/policy/balancer.py
+++ b/load_balancer/policy/balancer.py
@@ -40,11 +40,11 @@
         self.poller = EndpointListPoller(context)
         self.breakers = CircuitBreakers(context)
         self.outliers = OutlierDetector(context, self.subset)
-        self.limit = admission.ConcurrencyLimit(context, slow_start, monitor)
+        self.concurrency = admission.ConcurrencyLimit(context, slow_start, monitor)
         self.selector = EndpointSelector(context, automaton, self.subset, slow_start, monitor)
         self.retries = RetryPolicy(context, monitor)
         self.outcomes = OutcomeRecorder(
-            context, automaton, slow_start, monitor, self.limit, self.breakers, self.outliers
+            context, automaton, slow_start, monitor, self.concurrency, self.breakers, self.outliers
         )
         self.queue = RequestQueue(context, admission.QUEUE_CHECK * context.objective_ms)
         self._work = RelativeSize(WORK_STEP)
@@ -75,7 +75,7 @@
         if event.kind is not events.EndpointListKind.FAILED:
             update_endpoints(self.context, self.automaton, event)
             self.subset.update()
-            self.limit.on_endpoint_list()
+            self.concurrency.on_endpoint_list()
 
     def _on_request_arrived(self, event: events.RequestArrived) -> None:
         context, settings = self.context, self.settings
@@ -154,7 +154,7 @@
                 self._cancel_attempts(request)
                 return
             if self._place(request, False):
-                self.retries.tokens -= 1.0
+                self.retries.spend()
                 return
         self.retries.schedule_late_check(request)
 
@@ -163,7 +163,7 @@
         queue, passed_over = self.queue, 0
         while passed_over < min(len(queue), QUEUE_SCAN_LIMIT):
             request = queue[passed_over]
-            if not self.limit.admits(request):
+            if not self.concurrency.admits(request):
                 break  # and none of less priority by the luck of its draw
             if not self._place(request, False):
                 passed_over += 1
@@ -171,7 +171,7 @@
 
     def _expire(self, request: Request) -> None:
         """A request has waited long enough: a final attempt anywhere the rules allow, or an answer."""
-        if not (self.limit.admits(request) and self._place(request, True)):
+        if not (self.concurrency.admits(request) and self._place(request, True)):
             self._finish(request)
 
     def _place(self, request: Request, final_attempt: bool) -> bool:
@@ -191,7 +191,7 @@
             return False
         self.queue.remove(request)
         context.requests.start_attempt(request, record, context.now)
-        record.slow_start_tokens -= request.work
+        self.slow_start.record_send(record, request.work)
         self.congestion.record_send()
         self.retries.schedule_late_check(request)
         if self.retries.needs_new_connection(request, record):
--- a/load_balancer/policy/congestion.py
+++ b/load_balancer/policy/congestion.py
@@ -1,4 +1,4 @@
-"""The congestion signal: latencies against their target and against the baseline of calm times."""
+"""The congestion signal: latencies against their target and against the baseline of light load."""
 
 import math
 
@@ -7,7 +7,7 @@
 from load_balancer.rates import FadingRate
 
 TARGET_RATIO = 0.4  # latencies are kept below this part of the objective, less for inner tiers
-TARGET_BASELINES = 1.6  # and this many times the baseline ratio, where the objective leaves little room
+TARGET_BASELINES = 1.6  # and this many times the baseline ratio, where the objective leaves little margin
 RATIO_CAP = 1.2  # in objectives: what one very late answer counts at most
 BASELINES_CONGESTED = 2.0  # and below this many times the node's baseline latency
 BASELINES_CONGESTED_SPARSE = 1.5  # where a node has so few answers that congestion is averaged over five
@@ -16,7 +16,7 @@
 BASELINE_FADE = 0.00003  # by which the baseline follows the present mean at each answer
 CONGESTION_STEP = 0.05  # congestion is averaged over about twenty answers
 CONGESTION_OBJECTIVES = 2.0  # but where those take longer than this many objectives, over as many as come,
-CONGESTION_STEP_MAX = 0.2  # five at the least: at full size twenty answers of one node come after the jam
+CONGESTION_STEP_MAX = 0.2  # five at the least: at full size twenty answers of a node come after the overload
 PEAK_FADE = 4.0  # the best rate fades over this many objectives
 
 
@@ -56,11 +56,11 @@
         return self._context.now - self._started_at >= BASELINE_MEANS_MIN * self.mean_latency
 
     def peak_fade(self) -> float:
-        """What is left of the best rate: it fades with time, not with answers, as in a jam none come."""
+        """What is left of the best rate: it fades with time, not with answers: under overload none come."""
         return math.exp(-(self._context.now - self._peak_at) / (PEAK_FADE * self._context.objective_ms))
 
     def record_answer(self, latency: float) -> None:
-        """Remember the mean latency of the calmest time: what the service takes when nothing queues."""
+        """Follow the baseline: the mean latency at the lightest load, when nothing queues."""
         now = self._context.now
         self._answers += 1
         self.mean_latency += max(self._step, 1.0 / self._answers) * (latency - self.mean_latency)
@@ -91,7 +91,7 @@
         self._ratio += self._step * (min(ratio, RATIO_CAP) - self._ratio)
         in_flight = len(self._context.requests.attempts)
         self.mean_in_flight += self._step * (in_flight - self.mean_in_flight)
-        # Few answers tell late: by then a jam is under way, so less than that counts as congestion.
+        # Few answers show it late: by then servers are overloaded, so less than that counts as congestion.
         sparse = (self._step - CONGESTION_STEP) / (CONGESTION_STEP_MAX - CONGESTION_STEP)
         times = BASELINES_CONGESTED + sparse * (BASELINES_CONGESTED_SPARSE - BASELINES_CONGESTED)
         bound = times * self.baseline_latency
--- a/load_balancer/policy/endpoints.py
+++ b/load_balancer/policy/endpoints.py
@@ -43,7 +43,7 @@
             self._failed_polls += 1
             if self._failed_polls == 1:
                 context.log("endpoint_list_lost")
-            self._plan_poll(self.backoff())
+            self._plan_poll(self._backoff())
         elif kind is EndpointListKind.CACHED:
             if context.settings.poll_endpoint_list:
                 # All nodes may start at once: spread their first polls, well inside the time allowed.
@@ -63,10 +63,10 @@
         self._poll_at = math.inf
         if not self._subscribed:
             context.actions.append(PollEndpointList())
-            no_reply_after = min(0.5 * context.settings.poll_within_ms, 2 * POLL_BACKOFF_MAX_MS)
-            self._plan_poll(no_reply_after)
+            unanswered_after = min(0.5 * context.settings.poll_within_ms, 2 * POLL_BACKOFF_MAX_MS)
+            self._plan_poll(unanswered_after)
 
-    def backoff(self) -> float:
+    def _backoff(self) -> float:
         """The time to the next poll after a failed one, with jitter."""
         within = self._context.settings.poll_within_ms
         longest = min(0.5 * within, POLL_BACKOFF_MAX_MS)
--- a/load_balancer/policy/outcomes.py
+++ b/load_balancer/policy/outcomes.py
@@ -20,7 +20,7 @@
 
 @dataclass(slots=True)
 class OutcomeRecorder:
-    """Tells each part what it learns from an attempt's outcome."""
+    """Hands each part what an attempt's outcome says to it."""
 
     context: NodeContext
     automaton: Automaton
@@ -37,7 +37,7 @@
         since_response = self.context.now - record.last_response_at
         if elapsed > timeout and since_response >= elapsed:
             # All that is known of it is this one late outcome: where requests are few, an average of seven
-            # answers spans most of a minute, and what crowded or stopped the server is still there.
+            # answers spans most of a minute, and what overloaded or stopped the server is still there.
             self.outliers.cool_down(record, LATE_COOLDOWN * elapsed)
         if outcome is Outcome.OK:
             self._record_success(attempt, elapsed, request)
--- a/load_balancer/policy/outliers.py
+++ b/load_balancer/policy/outliers.py
@@ -25,6 +25,7 @@
 RECOVERY_OBJECTIVES = 4.0
 PAUSE_FIRST = 0.2  # the first pause, as a part of that; doubles up to PAUSE_MAX
 PAUSE_MAX = 1.0
+PAUSE_DOUBLINGS = 10  # more would exceed it by far
 
 
 def can_spare(out: int, count: int, most: float = EJECTED_MAX) -> bool:
@@ -90,10 +91,9 @@
 
     def _open(self, record: EndpointRecord, class_index: int, peer_rate: float) -> None:
         request_class, class_record = self._context.settings.classes[class_index], record.classes[class_index]
-        part = min(PAUSE_MAX, PAUSE_FIRST * 2.0 ** min(class_record.consecutive_openings, 10))
-        if request_class.idempotency is Idempotency.NON_IDEMPOTENT:
-            part = PAUSE_MAX  # a trial of these is a request lost if it fails: trials are far between
-        pause = part * _recovery_time(self._context) * (0.75 + 0.5 * self._context.rng.random())
+        unsafe = request_class.idempotency is Idempotency.NON_IDEMPOTENT
+        # Where a failed trial is a request lost for good, trials are far between from the start.
+        pause = _pause(self._context, PAUSE_DOUBLINGS if unsafe else class_record.consecutive_openings)
         name, span = request_class.name, round(pause)
         rates = {"failure_rate": class_record.failure_rate, "peer_failure_rate": peer_rate}
         self._context.log(
@@ -140,7 +140,7 @@
             self._context.log("endpoint_ejected", endpoint=name, outcome=outcome.value, **rates)
             # Idle connections may lead to a dead process; a fresh one proves by failing that nothing ran.
             self._context.actions.append(CloseIdleConnections(record.endpoint.id))
-            self.schedule_readmission(record)
+            self._schedule_readmission(record)
 
     def cool_down(self, record: EndpointRecord, span: float) -> None:
         """Skip an endpoint for a while, unless too many that would take its requests are out already.
@@ -152,12 +152,10 @@
         if can_spare(sum(1 for r in peers if r.ejected or r.cooldown_until > now), len(peers)):
             record.cooldown_until = now + span
 
-    def schedule_readmission(self, record: EndpointRecord) -> None:
+    def _schedule_readmission(self, record: EndpointRecord) -> None:
         """Have an ejected endpoint tried again, later each time."""
-        part = min(PAUSE_MAX, PAUSE_FIRST * 2.0 ** min(record.consecutive_ejections, 10))
-        pause = _recovery_time(self._context) * part
+        at = self._context.now + _pause(self._context, record.consecutive_ejections)
         record.consecutive_ejections += 1
-        at = self._context.now + pause * (0.75 + 0.5 * self._context.rng.random())
         self._context.schedule(at, TimerKind.READMISSION, endpoint_id=record.endpoint.id)
 
     def on_readmission_timer(self, endpoint_id: EndpointId) -> None:
@@ -180,12 +178,14 @@
         else:
             # Health checks are cheap: go on at a steady pace.
             record.consecutive_ejections = min(record.consecutive_ejections, 1)
-            self.schedule_readmission(record)
+            self._schedule_readmission(record)
 
 
-def _recovery_time(context: NodeContext) -> float:
-    """The unit of pauses in milliseconds."""
-    return max(context.settings.warm_up_ms or 10_000.0, RECOVERY_OBJECTIVES * context.objective_ms)
+def _pause(context: NodeContext, repetitions: int) -> float:
+    """How long what has failed so often before is kept out, in milliseconds with jitter."""
+    part = min(PAUSE_MAX, PAUSE_FIRST * 2.0 ** min(repetitions, PAUSE_DOUBLINGS))
+    unit = max(context.settings.warm_up_ms or 10_000.0, RECOVERY_OBJECTIVES * context.objective_ms)
+    return part * unit * (0.75 + 0.5 * context.rng.random())
 
 
 def _put_on_trial(record: EndpointRecord) -> None:
--- a/load_balancer/policy/retries.py
+++ b/load_balancer/policy/retries.py
@@ -26,6 +26,10 @@
         """Earn a part of a further attempt."""
         self.tokens = min(RETRY_TOKENS_MAX, self.tokens + RETRY_EARN)
 
+    def spend(self) -> None:
+        """Pay for a further attempt."""
+        self.tokens -= 1.0
+
     def take_retry(self, request: Request, outcome: Outcome) -> bool:
         """Whether a request whose last attempt ended so gets another; pays for it from the budget."""
         left = request.deadline - self._context.now
@@ -41,7 +45,7 @@
         ):
             return False
         if costs:
-            self.tokens -= 1.0
+            self.spend()
         return True
 
     def schedule_late_check(self, request: Request) -> None:
@@ -61,7 +65,7 @@
         Only if its server is silent: one that answers others is merely busy with long work, and giving that
         up would waste it and feed the next queue (seen as 14% of attempts timed out on a quiet day).  And
         only while the budget lasts and latencies meet their target: in an inner tier a few answers of twice
-        the baseline are no jam.  What does not hold now may hold at the next check.
+        the baseline are no overload.  What does not hold now may hold at the next check.
         """
         timeout = self._monitor.class_latencies[request.class_index].attempt_timeout()
         silent = all(is_silent(a.record, timeout, self._context.now) for _, a in request.running())
--- a/load_balancer/policy/selection.py
+++ b/load_balancer/policy/selection.py
@@ -127,8 +127,8 @@
             if record.cooldown_until > now or in_flight + 1 > record.concurrency_limit:
                 continue
             average = averages[i]
-            # By Little's law this part of its attempts waits there; a server crowded for long turns slow for
-            # long, and its own average shows that before the mean of all does.
+            # By Little's law this part of its attempts waits there; a server overloaded for long stays slow
+            # for long, and its own average shows that before the mean of all does.
             if average and in_flight * (1.0 - baseline / average) > waiting_max:
                 continue
             share = p[i] * mean / average if average and average > mean else p[i]
--- a/load_balancer/policy/slow_start.py
+++ b/load_balancer/policy/slow_start.py
@@ -5,7 +5,7 @@
 from load_balancer.records import EndpointRecord
 
 # The capacity that the settings give a warming server is the least of any: most have half as much again, and
-# fleets have capacity to spare while they are calm, which is when a warm server's part is learned.
+# fleets have capacity to spare at light load, which is when a warm server's part is learned.
 SLOW_START_MARGIN = 1.5
 
 
@@ -15,13 +15,17 @@
     def __init__(self, context: NodeContext) -> None:
         self._context = context
         settings = context.settings
-        # By the work answered: what is sent is more than servers bear when fewer of them are left.
+        # By the work answered: what is sent overloads servers when fewer of them are left.
         self._answered_work = FadingRate(settings.warm_up_ms or 1000.0, settings.overload_window_ms)
 
     def record_answer(self, work: float) -> None:
         """Count the work of an answered attempt."""
         self._answered_work.add(work, self._context.now)
 
+    def record_send(self, record: EndpointRecord, work: float) -> None:
+        """Take the work of an attempt out of its server's budget."""
+        record.slow_start_tokens -= work
+
     def capacity_fraction(self, record: EndpointRecord) -> float:
         """The part of its capacity that a server has at the least by now: 1 once it is warm."""
         start, settings = record.endpoint.started_ms, self._context.settings
@@ -42,7 +46,7 @@
     def admits(self, record: EndpointRecord, fraction: float, work: float, flow: float) -> bool:
         """Whether a warming server may get an attempt: the rising part of a warm one's flow, with a margin.
 
-        Every node does so alone; together they then send it its part of what warm servers bear, which
+        Every node does so alone; together they then send it its part of what warm servers sustain, which
         leaves the rest of the multiple that it survives as a margin for chance and for heavy requests.
         """
         now, settings = self._context.now, self._context.settings
--- a/load_balancer/timers.py
+++ b/load_balancer/timers.py
@@ -56,7 +56,7 @@
             yield heapq.heappop(self._timers)[2]
 
     def wake_up(self) -> SetTimer | None:
-        """The wake-up to ask for, where none is pending that comes soon enough."""
+        """The wake-up to request, where none is pending that comes soon enough."""
         if not self._timers or self._timers[0][0] >= self._wake_up_at:
             return None
         self._wake_up_at = self._timers[0][0]
