--- a/load_balancer/proxy/discovery.py
+++ b/load_balancer/proxy/discovery.py
@@ -24,13 +24,17 @@
 class ListingHandler(Protocol):
     """Called with each endpoint list, and each change to one, in order."""
 
-    def __call__(self, listing: EndpointListing, /) -> None: ...
+    def __call__(self, listing: EndpointListing, /) -> None:
+        """Take in a list or a change."""
+        ...
 
 
 class FailureHandler(Protocol):
     """Called once for each watch that has failed, with no other one to take its place."""
 
-    def __call__(self) -> None: ...
+    def __call__(self) -> None:
+        """Take note of the failure."""
+        ...
 
 
 class EndpointDiscovery:
--- a/load_balancer/proxy/http1.py
+++ b/load_balancer/proxy/http1.py
@@ -63,7 +63,9 @@
 class MessageHandler(Protocol):
     """Called with each complete message, while the piece of input that completed it is being parsed."""
 
-    def __call__(self, message: HttpMessage, /) -> None: ...
+    def __call__(self, message: HttpMessage, /) -> None:
+        """Take in the message."""
+        ...
 
 
 class _StopParsing(Exception):  # noqa: N818 - a signal, not an error
--- a/load_balancer/proxy/upstream_connection.py
+++ b/load_balancer/proxy/upstream_connection.py
@@ -22,19 +22,25 @@
 class OutcomeHandler(Protocol):
     """Called once with a request's outcome, and with the response where a complete one came."""
 
-    def __call__(self, outcome: Outcome, response: HttpMessage | None, /) -> None: ...
+    def __call__(self, outcome: Outcome, response: HttpMessage | None, /) -> None:
+        """Take in the outcome and the response."""
+        ...
 
 
 class RequestRenderer(Protocol):
     """Gives a request's bytes for an attempt that has this many seconds left."""
 
-    def __call__(self, seconds_left: float, /) -> bytes: ...
+    def __call__(self, seconds_left: float, /) -> bytes:
+        """Render the request."""
+        ...
 
 
 class StillWanted(Protocol):
     """Tells whether somebody still waits for the response, at the moment in which the request would begin."""
 
-    def __call__(self) -> bool: ...
+    def __call__(self) -> bool:
+        """Whether the request is still to be sent."""
+        ...
 
 
 class UpstreamRequest:
--- a/tests/proxy/__init__.py
+++ b/tests/proxy/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the proxy, on loopback sockets."""
