Give the shared state and the estimators packages of their own

Change: context, records, request queue and timers move to load_balancer/state, rates, averages and probability to load_balancer/estimation.

--- /dev/null
+++ b/load_balancer/estimation/__init__.py
@@ -0,0 +1,1 @@
+"""Estimators and arithmetic that know nothing of requests or endpoints."""
--- a/load_balancer/policy/admission.py
+++ b/load_balancer/policy/admission.py
@@ -2,12 +2,12 @@
 
 import math
 
-from load_balancer.context import NodeContext
+from load_balancer.estimation.rates import TokenBucket
 from load_balancer.policy.congestion import BASELINES_CONGESTED, CongestionMonitor
 from load_balancer.policy.slow_start import SlowStart
-from load_balancer.rates import TokenBucket
-from load_balancer.records import Request
 from load_balancer.settings import Settings
+from load_balancer.state.context import NodeContext
+from load_balancer.state.records import Request
 
 LIMIT_DOWN = 0.9
 LIMIT_DOWN_MAX = 0.5  # a cut is as deep as the congestion, down to this
--- a/load_balancer/policy/automaton.py
+++ b/load_balancer/policy/automaton.py
@@ -5,8 +5,8 @@
 
 from collections.abc import Mapping, Sequence
 
+from load_balancer.estimation.probability import floored
 from load_balancer.events import EndpointId
-from load_balancer.probability import floored
 
 # A node sees few answers over many endpoints, so both steps are far above the published ones.
 ALPHA = 0.15  # an average spans about seven of its endpoint's answers
--- a/load_balancer/policy/balancer.py
+++ b/load_balancer/policy/balancer.py
@@ -6,8 +6,7 @@
 
 from load_balancer import events
 from load_balancer.actions import Action, CancelAttempt, CloseIdleConnections, SendAttempt
-from load_balancer.averages import RelativeSize
-from load_balancer.context import NodeContext
+from load_balancer.estimation.averages import RelativeSize
 from load_balancer.policy import admission
 from load_balancer.policy.automaton import Automaton
 from load_balancer.policy.congestion import CongestionMonitor
@@ -18,10 +17,11 @@
 from load_balancer.policy.selection import EndpointSelector, permits
 from load_balancer.policy.slow_start import SlowStart
 from load_balancer.policy.subset import EndpointSubset
-from load_balancer.records import EndpointRecord, Request
-from load_balancer.request_queue import RequestQueue
 from load_balancer.settings import Settings
-from load_balancer.timers import TimerKind
+from load_balancer.state.context import NodeContext
+from load_balancer.state.records import EndpointRecord, Request
+from load_balancer.state.request_queue import RequestQueue
+from load_balancer.state.timers import TimerKind
 
 WORK_STEP = 0.02  # the mean cost hint spans about fifty requests
 QUEUE_SCAN_LIMIT = 3  # queued requests without a place that are passed over for others
--- a/load_balancer/policy/congestion.py
+++ b/load_balancer/policy/congestion.py
@@ -2,9 +2,9 @@
 
 import math
 
-from load_balancer.context import NodeContext
+from load_balancer.estimation.rates import FadingRate
 from load_balancer.policy.estimators import LatencyEstimator
-from load_balancer.rates import FadingRate
+from load_balancer.state.context import NodeContext
 
 TARGET_RATIO = 0.4  # latencies are kept below this part of the objective, less for inner tiers
 TARGET_BASELINES = 1.6  # and this many times the baseline ratio, where the objective leaves little margin
--- a/load_balancer/policy/estimators.py
+++ b/load_balancer/policy/estimators.py
@@ -3,7 +3,7 @@
 import math
 from dataclasses import dataclass
 
-from load_balancer.averages import MeanDeviation
+from load_balancer.estimation.averages import MeanDeviation
 
 LATENCY_STEP = 0.1
 TIMEOUT_DEVIATIONS = 4.0  # timeout = mean + this many mean deviations, as in TCP's retransmission timeout
--- a/load_balancer/policy/outcomes.py
+++ b/load_balancer/policy/outcomes.py
@@ -2,14 +2,14 @@
 
 from dataclasses import dataclass
 
-from load_balancer.context import NodeContext
 from load_balancer.events import AttemptEnded, Outcome
 from load_balancer.policy.admission import ConcurrencyLimit
 from load_balancer.policy.automaton import Automaton
 from load_balancer.policy.congestion import CongestionMonitor
 from load_balancer.policy.outliers import EJECTED_MAX, USUAL_STEP, CircuitBreakers, OutlierDetector
 from load_balancer.policy.slow_start import SlowStart
-from load_balancer.records import Attempt, EndpointRecord, Request
+from load_balancer.state.context import NodeContext
+from load_balancer.state.records import Attempt, EndpointRecord, Request
 
 REJECTED_COOLDOWN = 0.02  # an endpoint that rejected cools down for this part of the objective, twice as long
 REJECTED_DOUBLINGS = 5  # each time until it answers: one that drains rejects for seconds before the list says
--- a/load_balancer/policy/outliers.py
+++ b/load_balancer/policy/outliers.py
@@ -3,12 +3,12 @@
 import math
 
 from load_balancer.actions import CheckHealth, CloseIdleConnections
-from load_balancer.context import NodeContext
 from load_balancer.events import EndpointId, HealthCheckEnded, Outcome
 from load_balancer.policy.subset import EndpointSubset
-from load_balancer.records import ClassRecord, EndpointRecord
 from load_balancer.settings import Idempotency
-from load_balancer.timers import TimerKind
+from load_balancer.state.context import NodeContext
+from load_balancer.state.records import ClassRecord, EndpointRecord
+from load_balancer.state.timers import TimerKind
 
 # Failures, always against peers.
 FAILURE_STEP = 0.3  # two failures in a row cross FAILURE_RATE_MIN, one never does
--- a/load_balancer/policy/retries.py
+++ b/load_balancer/policy/retries.py
@@ -1,13 +1,13 @@
 """Further attempts of a request - retries and hedged requests - and the final answer without one."""
 
 from load_balancer.actions import FailRequest, RejectRequest
-from load_balancer.context import NodeContext
 from load_balancer.events import Outcome
 from load_balancer.policy.congestion import CongestionMonitor
 from load_balancer.policy.outliers import is_silent
 from load_balancer.policy.selection import permitted
-from load_balancer.records import EndpointRecord, Request
-from load_balancer.timers import TimerKind
+from load_balancer.state.context import NodeContext
+from load_balancer.state.records import EndpointRecord, Request
+from load_balancer.state.timers import TimerKind
 
 RETRY_EARN = 0.1  # retries and hedged requests for each arrival
 RETRY_TOKENS_MAX = 10.0
--- a/load_balancer/policy/selection.py
+++ b/load_balancer/policy/selection.py
@@ -3,15 +3,15 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from load_balancer.context import NodeContext
 from load_balancer.policy.admission import sharing_nodes
 from load_balancer.policy.automaton import Automaton
 from load_balancer.policy.congestion import CongestionMonitor
 from load_balancer.policy.outliers import admits_class, is_silent
 from load_balancer.policy.slow_start import SlowStart
 from load_balancer.policy.subset import EndpointSubset
-from load_balancer.records import EndpointRecord, Request
 from load_balancer.settings import DeduplicationScope, Idempotency
+from load_balancer.state.context import NodeContext
+from load_balancer.state.records import EndpointRecord, Request
 
 PANIC_THRESHOLD = 0.5  # with more than this part unhealthy, health is ignored: the cause is not the servers
 SHARE_TIMES = 1.25  # a node's attempts at one endpoint may exceed its share of all in flight by this factor
--- a/load_balancer/policy/slow_start.py
+++ b/load_balancer/policy/slow_start.py
@@ -1,8 +1,8 @@
 """Slow start: the budget of a server that warms up."""
 
-from load_balancer.context import NodeContext
-from load_balancer.rates import FadingRate
-from load_balancer.records import EndpointRecord
+from load_balancer.estimation.rates import FadingRate
+from load_balancer.state.context import NodeContext
+from load_balancer.state.records import EndpointRecord
 
 # The capacity that the settings give a warming server is the least of any: most have half as much again, and
 # fleets have capacity to spare at light load, which is when a warm server's part is learned.
--- /dev/null
+++ b/load_balancer/state/__init__.py
@@ -0,0 +1,1 @@
+"""The state of one node that the parts of the policy share; decides nothing."""
--- a/load_balancer/request_queue.py
+++ b/load_balancer/state/request_queue.py
@@ -5,9 +5,9 @@
 import math
 from bisect import insort
 
-from load_balancer.context import NodeContext
-from load_balancer.records import Request
-from load_balancer.timers import TimerKind
+from load_balancer.state.context import NodeContext
+from load_balancer.state.records import Request
+from load_balancer.state.timers import TimerKind
 
 
 class RequestQueue:
