Split the node's client side and core into modules of one job

Cause: server.py and downstream.py each held many concerns under invented names, and timers had no owner. Log lines are events with fields. Timers of a stopped node are cancelled by their owners; bytes, constants and the order of operations are as before.

--- a/load_balancer/__main__.py
+++ b/load_balancer/__main__.py
@@ -3,18 +3,20 @@
 from __future__ import annotations
 
 import gc
-import logging
 import os
 import signal
 import sys
-import time
 
 import uvloop
 
+from load_balancer.logging_setup import configure_logging
 from load_balancer.proxy.configuration import ConfigurationError, NodeConfiguration, load_configuration
 from load_balancer.proxy.server import Node
 
-_ENDING = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
+EXIT_OK = 0
+EXIT_BAD_CONFIGURATION = 2
+
+_HANDLED_SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
 
 
 async def _serve(config: NodeConfiguration) -> None:
@@ -25,52 +27,29 @@
     await node.wait()
     # The loop gives the signals back to their defaults as it closes, and one of these would end the process
     # before it has ended well: what comes from here on is left pending.
-    signal.pthread_sigmask(signal.SIG_BLOCK, _ENDING)
+    signal.pthread_sigmask(signal.SIG_BLOCK, _HANDLED_SIGNALS)
 
 
-class _RateLimit(logging.Filter):
-    """Lets through so many lines a second, and says once how many it left out.
+def main() -> int:
+    """Run one node.
 
-    Guards against a node that is busy, or blocked, with writing what bad peers make it say.
+    Returns 0 after SIGTERM, and 2 with one plain line on standard error for a bad configuration.
     """
-
-    def __init__(self, a_second: float = 20.0, at_once: float = 100.0) -> None:
-        super().__init__()
-        self._a_second, self._at_once = a_second, at_once
-        self._tokens, self._at, self._left_out = at_once, time.monotonic(), 0
-
-    def filter(self, record: logging.LogRecord) -> bool:
-        now = time.monotonic()
-        self._tokens = min(self._at_once, self._tokens + self._a_second * (now - self._at))
-        self._at = now
-        if self._tokens < 1.0:
-            self._left_out += 1
-            return False
-        self._tokens -= 1.0
-        if self._left_out:
-            record.msg = f"({self._left_out} lines left out) {record.msg}"
-            self._left_out = 0
-        return True
-
-
-def main() -> int:
-    """Exit code 0 after SIGTERM, 2 with one plain line on standard error for a bad configuration."""
-    # Until the node listens there is nothing to be done again; the default would end the process.
+    # Until the node listens there is nothing to reload; the default would end the process.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
-    logging.getLogger().handlers[0].addFilter(_RateLimit())
+    configure_logging()
     try:
         config = load_configuration(os.environ)
         uvloop.run(_serve(config))
-        for number in _ENDING:
+        for number in _HANDLED_SIGNALS:
             signal.signal(number, signal.SIG_IGN)
     except ConfigurationError as error:
         print(f"load_balancer: {error}", file=sys.stderr)
-        return 2
+        return EXIT_BAD_CONFIGURATION
     except OSError as error:
         print(f"load_balancer: NODE_LISTEN cannot be used: {error}", file=sys.stderr)
-        return 2
-    return 0
+        return EXIT_BAD_CONFIGURATION
+    return EXIT_OK
 
 
 if __name__ == "__main__":
--- a/load_balancer/proxy/__init__.py
+++ b/load_balancer/proxy/__init__.py
@@ -1,1 +1,1 @@
-"""The real node: the decision module on sockets."""
+"""The real node: connects the policy to sockets and decides nothing itself."""
--- /dev/null
+++ b/load_balancer/proxy/descriptors.py
@@ -0,0 +1,32 @@
+"""Divides the descriptor limit between downstream and upstream connections."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+# Used by the process itself: 20 were counted with nothing open.  The watch, its successor, and connections
+# that are just being accepted or closed come on top.  Only what remains beside these is divided.
+RESERVED_DESCRIPTORS = 28
+DOWNSTREAM_FRACTION = 0.42  # of the remainder
+MIN_DOWNSTREAM_FRACTION = 1 / 3  # of the limit: as many connections may clients with requests hold
+MIN_UPSTREAM_FRACTION = 1 / 3  # of the remainder, where the limit is tight
+# Of the limit on downstream connections: as many more are answered 503 while none can be evicted.
+OVERFLOW_FRACTION = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class DescriptorShares:
+    """How many connections each side of the node may have open."""
+
+    downstream: int
+    upstream: int
+
+
+def divide_descriptors(limit: int) -> DescriptorShares:
+    """Divide the limit so that a side that is full leaves the other's and discovery's descriptors free."""
+    remainder = limit - RESERVED_DESCRIPTORS
+    wanted = max(DOWNSTREAM_FRACTION * remainder, MIN_DOWNSTREAM_FRACTION * limit)
+    bound = (1.0 - MIN_UPSTREAM_FRACTION) * remainder / (1.0 + OVERFLOW_FRACTION)
+    downstream = max(1, int(min(wanted, bound)))
+    upstream = max(1, int(remainder - downstream * (1.0 + OVERFLOW_FRACTION)))
+    return DescriptorShares(downstream, upstream)
--- a/load_balancer/proxy/loop_iterations.py
+++ b/load_balancer/proxy/loop_iterations.py
@@ -1,8 +1,8 @@
-"""Since when what is read now may have been waiting to be read.
+"""Bounds the arrival time of what an iteration of the event loop reads.
 
-A caller's time counts from its request's last byte, and a busy loop reads that late: who counts from the read
-does not answer in time.  The system tells no time of arrival, but a loop that looks at its sockets in every
-turn bounds it: what is read in this turn was not there in the look before.
+A client's time counts from the last byte of its request, and a busy loop reads that late: counting from the
+read would miss the deadline.  The system reports no time of arrival, but a loop that polls its sockets in
+every iteration bounds it: what this iteration reads was not there at the poll before.
 """
 
 from __future__ import annotations
@@ -10,33 +10,33 @@
 import asyncio
 import time
 
-IDLE_S = 0.002  # a look that took longer has waited: what ended it came right then
+IDLE_POLL_S = 0.002  # a poll that took longer was waiting: what ended it arrived just then
 
 
-class Turns:
-    """Follows the turns of the loop in which something is done; to be told in each of them."""
+class LoopIterations:
+    """Follows the iterations of the event loop that do any work; each of them has to be marked."""
 
     def __init__(self) -> None:
         self._loop = asyncio.get_running_loop()
-        self._looked = self._began = self._before = time.monotonic()
-        self._noted = False
+        self._polled_at = self._began_at = self._earliest_arrival = time.monotonic()
+        self._marked = False
 
-    def note(self) -> None:
-        """Something is done in this turn: to be called before it, and as often as one likes."""
-        if self._noted:
+    def mark_activity(self) -> None:
+        """Note that this iteration does work: to be called before the work, any number of times."""
+        if self._marked:
             return
-        self._noted = True
+        self._marked = True
         now = time.monotonic()
-        self._before = self._began if now - self._looked < IDLE_S else now
-        self._began = now
-        self._loop.call_soon(self._look)
-
-    def since(self) -> float:
-        """The time (monotonic) after which what this turn reads has come."""
-        self.note()
-        return self._before
-
-    def _look(self) -> None:
-        """What was ready has been done, and the sockets are looked at next."""
-        self._noted = False
-        self._looked = time.monotonic()
+        self._earliest_arrival = self._began_at if now - self._polled_at < IDLE_POLL_S else now
+        self._began_at = now
+        self._loop.call_soon(self._before_poll)
+
+    def earliest_arrival(self) -> float:
+        """The monotonic time, in seconds, after which everything that this iteration reads has arrived."""
+        self.mark_activity()
+        return self._earliest_arrival
+
+    def _before_poll(self) -> None:
+        """Everything that was ready has been handled; the loop polls the sockets next."""
+        self._marked = False
+        self._polled_at = time.monotonic()
--- /dev/null
+++ b/load_balancer/proxy/response_slot.py
@@ -0,0 +1,88 @@
+"""The place of the one response to a client's request."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+from load_balancer.proxy.http1 import render_response
+
+
+class SlotConnection(Protocol):
+    """What a response slot needs of the connection that its request came on."""
+
+    def client_has_left(self) -> bool:
+        """Whether the client's end has closed, as seen on the socket."""
+
+    def end_after_client_left(self) -> None:
+        """End everything that waits on the connection."""
+
+    def must_close_after(self, slot: ResponseSlot) -> bool:
+        """Whether the connection has to close after the response in this slot."""
+
+    def release_body(self, slot: ResponseSlot) -> None:
+        """The body of a request that is over no longer counts."""
+
+    def flush(self) -> None:
+        """Send the responses that are due."""
+
+
+class ResponseSlot:
+    """The place of the one response to a request, in the order of the requests on its connection.
+
+    Attributes:
+        close_after: the connection closes after this response.
+        arrived_at_s: the earliest monotonic time at which the request's last byte can have arrived.
+        abandoned: the client left before it was answered.
+        body_bytes: the size of the request's body while the request is open.
+        output: the response as it goes onto the wire, None until it is known.
+        on_abandoned: called when the client leaves before it was answered.
+    """
+
+    __slots__ = (
+        "_connection",
+        "abandoned",
+        "arrived_at_s",
+        "body_bytes",
+        "close_after",
+        "on_abandoned",
+        "output",
+    )
+
+    def __init__(self, connection: SlotConnection, close_after: bool, arrived_at_s: float = 0.0) -> None:
+        self._connection = connection
+        self.close_after = close_after
+        self.arrived_at_s = arrived_at_s
+        self.abandoned = False
+        self.body_bytes = 0
+        self.output: bytes | None = None
+        self.on_abandoned: Callable[[], None] | None = None
+
+    def client_has_left(self) -> bool:
+        """Whether the client has gone by now, as seen on the socket.
+
+        The event loop reports it in a later iteration only, or not while the connection is not read.  Where
+        it is found here, everything that waits on the connection ends.
+        """
+        if not self.abandoned and self._connection.client_has_left():
+            self._connection.end_after_client_left()
+        return self.abandoned
+
+    def respond(self, status: int, body: bytes = b"", extra: bytes = b"") -> None:
+        """Send the response; extra holds whole header lines.
+
+        Nothing is sent to a client that has left, and no second response to any.
+        """
+        if self.abandoned or self.output is not None:
+            return
+        self.close_after = self.close_after or self._connection.must_close_after(self)
+        self._connection.release_body(self)
+        self.output = render_response(status, body, extra, close=self.close_after)
+        self._connection.flush()
+
+    def abandon(self) -> None:
+        """The client has left: nobody waits for the response."""
+        self.abandoned = True
+        self._connection.release_body(self)
+        if self.on_abandoned is not None and self.output is None:
+            self.on_abandoned()
--- a/load_balancer/proxy/socket_poll.py
+++ b/load_balancer/proxy/socket_poll.py
@@ -1,12 +1,15 @@
-"""A look at a socket beside the loop, which tells of it in its next turn only, or not while it is paused."""
+"""Polls one socket beside the event loop, which reports an event one iteration later, or not while paused."""
 
 from __future__ import annotations
 
 import select
 
 
-def polls(descriptor: int, event: int) -> bool:
-    """Whether this event, an error or a hang-up is there right now."""
+def poll_socket(descriptor: int, event: int) -> bool:
+    """Whether this event, an error or a hang-up is pending on the descriptor right now."""
     poll = select.poll()
     poll.register(descriptor, event)
     return bool(poll.poll(0))
+
+
+polls = poll_socket  # the name that upstream.py and discovery.py import
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -21,7 +21,8 @@
     RequestAbandoned,
     RequestArrived,
 )
-from load_balancer.proxy.downstream import MOST_PIPELINED
+from load_balancer.proxy.clock import Clock
+from load_balancer.proxy.downstream_connection import MAX_PIPELINED_REQUESTS
 from tests.stubs import (
     HOST,
     PATIENCE_S,
@@ -115,7 +116,7 @@
     async def main() -> None:
         async with StubServer([reply("200 OK"), reset]) as server, world(row("a", server.address)) as w:
             # However slow the machine is between the two, the second goes out on the idle connection.
-            monkeypatch.setattr(w.node._balancer, "_doubts", lambda *_: False)
+            monkeypatch.setattr(w.node.policy, "_doubts", lambda *_: False)
             caller = await w.caller()
             assert (await caller.ask("book")).status == 200
             assert (await caller.ask("book")).status == 502
@@ -140,9 +141,9 @@
             while not (one.received and two.received):
                 assert (await caller.ask("look")).status == 200
             one.vanish()
-            now = w.node._clock.now
-            monkeypatch.setattr(w.node._clock, "now", lambda: now() + 1000.0)  # so long unheard of
-            events = _record(w.node._balancer)
+            now = Clock.now
+            monkeypatch.setattr(Clock, "now", lambda clock: now(clock) + 1000.0)  # so long unheard of
+            events = _record(w.node.policy)
             for _ in range(12):
                 assert (await caller.ask("book", deadline="1.0")).status == 200
             assert any(isinstance(e, AttemptEnded) and e.outcome is Outcome.CONNECT_FAILED for e in events)
@@ -154,7 +155,7 @@
 def test_a_client_that_leaves_ends_its_attempt_and_gets_nothing() -> None:
     async def main() -> None:
         async with StubServer([silent]) as server, world(row("a", server.address)) as w:
-            events = _record(w.node._balancer)
+            events = _record(w.node.policy)
             caller = await w.caller()
             caller.writer.write(request("look"))
             await asyncio.wait_for(server.got.wait(), PATIENCE_S)
@@ -163,7 +164,7 @@
                 await asyncio.sleep(0)
             server.release.set()
             await asyncio.wait_for(server.left.wait(), PATIENCE_S)
-            assert not w.node._requests and not w.node._calls
+            assert not w.node.requests and not w.node.requests.attempts_in_flight
 
     run(main())
 
@@ -214,10 +215,10 @@
 ) -> None:
     async def main() -> None:
         async with StubServer([silent]) as server, world(row("a", server.address)) as w:
-            w.node._balancer.handle = lambda event, now: []  # type: ignore[method-assign]
+            w.node.policy.handle = lambda event, now: []  # type: ignore[method-assign]
             answer = await (await w.caller()).ask("look", deadline="0.3")
             assert answer.status == 500
-            assert "not answered in time" in caplog.text
+            assert "response_overdue" in caplog.text
 
     run(main())
 
@@ -225,13 +226,13 @@
 def test_a_fault_in_one_request_fails_that_request_alone() -> None:
     async def main() -> None:
         async with StubServer([reply("200 OK", b"fine")]) as server, world(row("a", server.address)) as w:
-            handle = w.node._balancer.handle
+            handle = w.node.policy.handle
 
             def faulty(event: Event, now: float) -> list[Action]:
-                w.node._balancer.handle = handle  # type: ignore[method-assign]
+                w.node.policy.handle = handle  # type: ignore[method-assign]
                 raise RuntimeError("planted")
 
-            w.node._balancer.handle = faulty  # type: ignore[method-assign]
+            w.node.policy.handle = faulty  # type: ignore[method-assign]
             caller = await w.caller()
             assert (await caller.ask("look")).status == 500
             assert (await caller.ask("look")).body == b"fine"
@@ -244,19 +245,19 @@
 
     async def main() -> None:
         async with StubServer([reply("200 OK")]) as server, world(row("a", server.address)) as w:
-            handle, inside, seen = w.node._balancer.handle, False, 0
+            handle, inside, seen = w.node.policy.handle, False, 0
 
             def watched(event: Event, now: float) -> list[Action]:
                 nonlocal inside, seen
                 assert not inside, "an event came while the module was deciding"
                 inside, seen = True, seen + 1
                 if seen == 1:
-                    w.node._post(RequestAbandoned(99))
+                    w.node.handle_event(RequestAbandoned(99))
                 actions = handle(event, now)
                 inside = False
                 return actions
 
-            w.node._balancer.handle = watched  # type: ignore[method-assign]
+            w.node.policy.handle = watched  # type: ignore[method-assign]
             assert (await (await w.caller()).ask("look")).status == 200
             assert seen >= 3, "the event that came in between was dropped"
 
@@ -326,7 +327,7 @@
             StubServer([reply("200 OK")]) as server,
             world(known=False, registryMode="pushed") as w,
         ):
-            events = _record(w.node._balancer)
+            events = _record(w.node.policy)
             (await w.discovery.watch()).close()
             watch = await w.discovery.watch()
             caller = await w.caller()
@@ -380,7 +381,7 @@
             StubDiscovery() as moved,
             world(row("a", server.address), path=str(config)) as w,
         ):
-            events = _record(w.node._balancer)
+            events = _record(w.node.policy)
             old = await w.discovery.watch()
             tell(old, listing(41, row("a", server.address)))
             config.write_text(json.dumps({"discovery": moved.address}))
@@ -412,7 +413,7 @@
                 guarantees={"mustAskInMs": 60_000.0},
             ) as w,
         ):
-            w.node._discovery.subscribe()
+            w.node.discovery.subscribe()
             (await w.discovery.watch()).transport.abort()
             while w.node._discovery._watch is not None:
                 await asyncio.sleep(0)
@@ -439,7 +440,7 @@
         ):
             watch = await w.discovery.watch()
             w.node.reload()
-            assert "kept the old configuration" in caplog.text
+            assert "configuration_reload_failed" in caplog.text
             tell(watch, listing(41, row("a", server.address)))
             assert (await (await w.caller()).ask("look")).status == 200
 
@@ -518,7 +519,7 @@
             server.release.set()
             assert (await first.answer()).body == b"first"
             assert (await first.ask("book", name="one")).body == b"second"
-            assert not w.node._held
+            assert not w.node.requests.reserved_client_ids
 
     run(main())
 
@@ -532,14 +533,14 @@
             caller.writer.write(b"nonsense\r\n\r\n" * 5)
             assert (await caller.answer()).status == 400
             assert await caller.ended(), "more than one answer"
-            assert not w.node._requests and not w.node._held
+            assert not w.node.requests and not w.node.requests.reserved_client_ids
             server.release.set()
 
     run(main())
 
 
 def test_a_slow_reader_gets_its_last_answer_whole(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("load_balancer.proxy.downstream.LINGER_S", 0.01)
+    monkeypatch.setattr("load_balancer.proxy.downstream_connection.LINGER_S", 0.01)
 
     async def main() -> None:
         body = b"x" * 60_000
@@ -549,22 +550,23 @@
                 caller.setblocking(False)
                 loop = asyncio.get_running_loop()
                 await loop.sock_connect(caller, w.address)
-                (connection,) = await until(lambda: list(w.node._callers._open))
-                transport = connection._transport
-                assert transport is not None
-                os_socket = transport.get_extra_info("socket")
+                (connection,) = await until(lambda: list(w.node.downstream.connections))
+                os_socket = connection.client_socket
+                assert os_socket is not None
                 os_socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2048)
                 await loop.sock_sendall(caller, request("look", extra="Connection: close\r\n"))
-                await until(lambda: connection._over)
-                assert connection._unsent(), "the test needs an answer that does not fit the buffers"
+                await until(lambda: connection.finished)
+                assert (
+                    connection.has_unsent_output()
+                ), "the test needs an answer that does not fit the buffers"
                 lingered = []
-                linger_on = connection._linger_on
+                linger_on = connection.abort_when_sent
 
                 def counted() -> None:
                     lingered.append(1)
                     linger_on()
 
-                monkeypatch.setattr(connection, "_linger_on", counted)
+                monkeypatch.setattr(connection, "abort_when_sent", counted)
                 await until(lambda: len(lingered) > 2)
                 got = b""
                 while part := await loop.sock_recv(caller, 4096):
@@ -577,12 +579,12 @@
 def test_hundreds_of_requests_in_one_piece_are_not_all_taken() -> None:
     async def main() -> None:
         async with StubServer([silent]) as server, world(row("a", server.address)) as w:
-            taken = _record(w.node._balancer)
+            taken = _record(w.node.policy)
             caller = await w.caller()
             caller.writer.write(b"".join(request("look") for _ in range(300)))
             assert (await caller.answer()).status == 400
             assert await caller.ended()
-            assert sum(isinstance(event, RequestArrived) for event in taken) <= MOST_PIPELINED
+            assert sum(isinstance(event, RequestArrived) for event in taken) <= MAX_PIPELINED_REQUESTS
             server.release.set()
 
     run(main())
@@ -594,8 +596,8 @@
 def test_a_request_that_does_not_come_is_not_waited_for(
     begun: bytes, status: int | None, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr("load_balancer.proxy.downstream.FIRST_S", 0.05)
-    monkeypatch.setattr("load_balancer.proxy.downstream.IDLE_ONCE_S", 0.05)
+    monkeypatch.setattr("load_balancer.proxy.downstream_connection.FIRST_REQUEST_TIMEOUT_S", 0.05)
+    monkeypatch.setattr("load_balancer.proxy.downstream_connection.UNUSED_IDLE_TIMEOUT_S", 0.05)
 
     async def main() -> None:
         async with StubServer([silent]) as server, world(row("a", server.address)) as w:
@@ -617,7 +619,7 @@
         ):
             usual = await w.caller()
             assert (await usual.ask("look")).status == 200
-            most = w.node._callers._most
+            most = w.node.downstream.max_connections
             once = [await w.caller() for _ in range(most - 1)]
             for caller in once:
                 assert (await caller.ask(target="/ready")).status == 200
@@ -626,7 +628,7 @@
             newcomer = await w.caller()
             assert (await newcomer.ask("look")).status == 200, "refused, though others could make way"
             assert (await usual.ask("look")).status == 200
-            assert len(w.node._callers._open) <= most
+            assert len(w.node.downstream.connections) <= most
 
     run(main())
 
@@ -636,7 +638,7 @@
 
     async def main() -> None:
         async with StubServer([reply("200 OK")]) as server, world(row("a", server.address), sockets=96) as w:
-            most = w.node._callers._most
+            most = w.node.downstream.max_connections
             resting = [await w.caller() for _ in range(most)]
             for caller in resting:
                 assert (await caller.ask("look")).status == 200
@@ -644,7 +646,7 @@
             for caller in newcomers:
                 assert (await caller.ask("look")).status == 200, "closed before its request could come"
             assert await resting[0].ended()
-            assert len(w.node._callers._open) <= most
+            assert len(w.node.downstream.connections) <= most
 
     run(main())
 
@@ -676,7 +678,7 @@
 
     async def main() -> None:
         async with StubServer([silent, reply("200 OK")]) as server, world(row("a", server.address)) as w:
-            w.node._callers._most_bytes = 150
+            w.node.downstream.max_body_bytes = 150
             first = await w.caller()
             first.writer.write(request("book", body=b"x" * 100))
             await asyncio.wait_for(server.got.wait(), PATIENCE_S)
@@ -685,7 +687,7 @@
             assert float(answer.headers["retry-after"]) > 0
             assert len(server.received) == 1
             first.close()
-            while w.node._requests:
+            while w.node.requests:
                 await asyncio.sleep(0)
             assert (await (await w.caller()).ask("book", body=b"x" * 100)).status == 200
             server.release.set()
@@ -699,7 +701,7 @@
         async with StubServer(behaviours) as server, world(row("a", server.address)) as w:
             caller = await w.caller()
             caller.writer.write(request("look") + request("look"))
-            while len(w.node._requests) < 2:
+            while len(w.node.requests) < 2:
                 await asyncio.sleep(0)
             w.node.terminate()
             server.release.set()
@@ -747,14 +749,16 @@
     run(main())
 
 
-def test_what_is_still_open_when_the_time_runs_out_is_failed_not_dropped() -> None:
+def test_what_is_still_open_when_the_time_runs_out_is_failed_not_dropped(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     async def main() -> None:
         async with StubServer([silent]) as server, world(row("a", server.address)) as w:
             caller = await w.caller()
             caller.writer.write(request("book", deadline="30"))
             await asyncio.wait_for(server.got.wait(), PATIENCE_S)
+            monkeypatch.setattr(w.node.shutdown, "answer_within_s", 0.0)
             w.node.terminate()
-            w.node._fail_rest()
             assert (await caller.answer()).status == 500
             server.release.set()
 
@@ -764,20 +768,20 @@
 def test_more_callers_than_descriptors_are_refused_and_idle_ones_make_way() -> None:
     async def main() -> None:
         async with StubServer([silent]) as server, world(row("a", server.address), sockets=64) as w:
-            w.node._balancer.handle = lambda event, now: []  # type: ignore[method-assign]
-            most = w.node._callers._most
+            w.node.policy.handle = lambda event, now: []  # type: ignore[method-assign]
+            most = w.node.downstream.max_connections
             idle = await w.caller()
             assert (await idle.ask(target="/ready")).status == 200
             busy = [await w.caller() for _ in range(most)]
             assert await idle.ended(), "the idle connection did not make way"
             for caller in busy:
                 caller.writer.write(request("look", deadline="5"))
-            while len(w.node._requests) < most:
+            while len(w.node.requests) < most:
                 await asyncio.sleep(0)
             answer = await (await w.caller()).ask("look")
             assert answer.status == 503
             assert float(answer.headers["retry-after"]) > 0
-            assert len(w.node._requests) == most
+            assert len(w.node.requests) == most
             server.release.set()
             for caller in busy:
                 caller.close()
@@ -791,7 +795,7 @@
 
     async def main() -> None:
         async with world(row("a", f"{HOST}:1")) as w:
-            assert {c.name for c in w.node._config.settings.classes} == names
-            assert w.node._config.settings.poll_endpoint_list
+            assert {c.name for c in w.node.config.settings.classes} == names
+            assert w.node.config.settings.poll_endpoint_list
 
     run(main())
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -20,9 +20,11 @@
 
 from load_balancer.actions import Action
 from load_balancer.events import AttemptEnded, Event, Outcome, RequestArrived, TimerFired
-from load_balancer.proxy import downstream as callers_module
+from load_balancer.policy.balancer import Balancer
+from load_balancer.proxy import downstream, downstream_connection, eviction, lifecycle
 from load_balancer.proxy import server as node_module
-from load_balancer.proxy.downstream import PACE_PIPELINED, CallerConnection
+from load_balancer.proxy.downstream_connection import PAUSE_READING_AT, DownstreamConnection
+from load_balancer.proxy.request_table import RequestTable
 from load_balancer.proxy.server import Node
 from tests.stubs import (
     HOST,
@@ -66,21 +68,21 @@
 def _late(node: Node, monkeypatch: pytest.MonkeyPatch) -> LateConnections:
     """From here on connections to servers come up when released, and are waited for as long as it takes."""
     late = LateConnections(asyncio.get_running_loop())
-    monkeypatch.setattr(node._servers, "_loop", late)
-    monkeypatch.setattr(node._servers, "_connect_s", PATIENCE_S)
+    monkeypatch.setattr(node._pools, "_loop", late)
+    monkeypatch.setattr(node._pools, "_connect_s", PATIENCE_S)
     return late
 
 
 def _events(node: Node, monkeypatch: pytest.MonkeyPatch) -> list[Event]:
     """What the module is told, as it comes."""
     events: list[Event] = []
-    handle = node._balancer.handle
+    handle = node.policy.handle
 
     def recording(event: Event, now: float) -> list[Action]:
         events.append(event)
         return handle(event, now)
 
-    monkeypatch.setattr(node._balancer, "handle", recording)
+    monkeypatch.setattr(node.policy, "handle", recording)
     return events
 
 
@@ -93,14 +95,20 @@
     return [event.budget_ms for event in events if isinstance(event, RequestArrived)]
 
 
+def _nothing_left(requests: RequestTable) -> bool:
+    """Whether no request is open, no attempt in flight, and no client id reserved."""
+    return not requests and not requests.attempts_in_flight and not requests.reserved_client_ids
+
+
 def _second_copy(node: Node, number: int, server: bytes) -> None:
     """Have the module send this request to that server, too."""
-    balancer = node._balancer
+    balancer = node.policy
+    assert isinstance(balancer, Balancer)
     on_timer = balancer._on_timer
     balancer._on_timer = lambda: balancer._send(  # type: ignore[method-assign,assignment]
         balancer._requests[number], balancer._servers[server]
     )
-    node._post(TimerFired(0))
+    node.handle_event(TimerFired(0))
     balancer._on_timer = on_timer  # type: ignore[method-assign]
 
 
@@ -134,19 +142,19 @@
         async with StubServer([held(reply("200 OK"))]) as server, world(row("a", server.address)) as w:
             caller = await w.caller()
             caller.writer.write(_bookings(2))
-            await until(lambda: len(server.received) == PACE_PIPELINED)
-            (connection,) = w.node._callers._open
-            assert connection._transport is not None and not connection._transport.is_reading()
+            await until(lambda: len(server.received) == PAUSE_READING_AT)
+            (connection,) = w.node.downstream.connections
+            assert connection.client_socket is not None and not connection.is_reading
             caller.writer.write(_bookings(1))
             await caller.writer.drain()
             leave(caller)
-            await until(lambda: not w.node._requests)
-            await until(lambda: not w.node._callers._open)
+            await until(lambda: not w.node.requests)
+            await until(lambda: not w.node.downstream.connections)
             server.release.set()
-            await until(lambda: not w.node._calls)
+            await until(lambda: not w.node.requests.attempts_in_flight)
             assert (await (await w.caller()).ask("look")).status == 200
-            assert len(server.received) == PACE_PIPELINED + 1, "what nobody waited for was sent on"
-            assert not w.node._callers._unread
+            assert len(server.received) == PAUSE_READING_AT + 1, "what nobody waited for was sent on"
+            assert not w.node.downstream.paused_connections
 
     run(main())
 
@@ -166,13 +174,14 @@
             caller.writer.write(request("book"))
             await asyncio.wait_for(late.begun.wait(), PATIENCE_S)
             caller.close()
-            await until(lambda: not w.node._requests)
+            await until(lambda: not w.node.requests)
             late.release.set()
-            await until(lambda: not w.node._servers._opening)
+            await until(lambda: not w.node._pools._opening)
             assert _outcomes(events) in ([Outcome.NOT_SENT], [Outcome.CANCELLED])
             assert (await (await w.caller()).ask("look", name="next")).status == 200
             assert [got.headers["x-request-id"] for got in server.received] == ["next"]
-            assert not w.node._calls and not w.node._held
+            assert not w.node.requests.attempts_in_flight
+            assert not w.node.requests.reserved_client_ids
 
     run(main())
 
@@ -186,18 +195,20 @@
                 caller.setblocking(False)
                 loop = asyncio.get_running_loop()
                 await loop.sock_connect(caller, w.address)
-                (connection,) = await until(lambda: list(w.node._callers._open))
-                assert connection._transport is not None
-                os_socket = connection._transport.get_extra_info("socket")
+                (connection,) = await until(lambda: list(w.node.downstream.connections))
+                os_socket = connection.client_socket
+                assert os_socket is not None
                 os_socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2048)
                 await loop.sock_sendall(caller, request("look"))
                 await until(lambda: connection.answered)
-                assert connection._unsent(), "the test needs an answer that does not fit the buffers"
+                assert (
+                    connection.has_unsent_output()
+                ), "the test needs an answer that does not fit the buffers"
                 await loop.sock_sendall(caller, _bookings(1))
                 await until(lambda: len(server.received) == 2)
                 caller.shutdown(socket.SHUT_WR)
-                await until(lambda: not w.node._requests)
-                assert connection._unsent(), "the test needs an answer that is still on its way"
+                await until(lambda: not w.node.requests)
+                assert connection.has_unsent_output(), "the test needs an answer that is still on its way"
                 server.release.set()
 
     run(main())
@@ -220,7 +231,7 @@
             await until(lambda: one.received or two.received)
             late = _late(w.node, monkeypatch)
             events = _events(w.node, monkeypatch)
-            (number,) = w.node._requests
+            (number,) = w.node.requests.open_ids
             other = b"b" if one.received else b"a"
             _second_copy(w.node, number, other)
             await asyncio.wait_for(late.begun.wait(), PATIENCE_S)
@@ -228,18 +239,19 @@
             two.release.set()
             assert (await caller.answer()).body == b"first"
             late.release.set()
-            await until(lambda: not w.node._servers._opening)
+            await until(lambda: not w.node._pools._opening)
             assert _outcomes(events)[0] is Outcome.OK, "the outcome that ended it comes first"
             assert len(_outcomes(events)) == 2
             assert len(one.received) + len(two.received) == 1
-            assert not w.node._calls and not w.node._held
+            assert not w.node.requests.attempts_in_flight
+            assert not w.node.requests.reserved_client_ids
 
     run(main())
 
 
 def _bookings_behind_one(late_check: pytest.MonkeyPatch) -> bytes:
     """Two requests on one connection, which is then read no further; only an attempt's own look remains."""
-    late_check.setattr(callers_module, "LEFT_CHECK_S", PATIENCE_S)
+    late_check.setattr(downstream, "DISCONNECT_CHECK_S", PATIENCE_S)
     return request("look", deadline="600") + request("book", deadline="600")
 
 
@@ -251,13 +263,13 @@
             late = _late(w.node, monkeypatch)
             caller = await w.caller()
             caller.writer.write(_bookings_behind_one(monkeypatch))
-            await until(lambda: len(w.node._servers._opening) == 2)
+            await until(lambda: len(w.node._pools._opening) == 2)
             caller.close()
-            await until(lambda: next(iter(w.node._callers._open)).has_left())
+            await until(lambda: next(iter(w.node.downstream.connections)).client_has_left())
             late.release.set()
-            await until(lambda: not w.node._servers._opening)
-            assert not w.node._requests and not w.node._calls and not w.node._held
-            await until(lambda: not w.node._callers._open)
+            await until(lambda: not w.node._pools._opening)
+            assert _nothing_left(w.node.requests)
+            await until(lambda: not w.node.downstream.connections)
             assert not server.received
 
     run(main())
@@ -276,11 +288,12 @@
             caller = _blocking(w.address)
             await until(lambda: one.received or two.received)
             caller.close()
-            ((_, call),) = w.node._calls.items()
+            (call,) = w.node.requests.attempts_in_flight
             call.give_up(outcome)
-            assert not w.node._requests and not w.node._calls and not w.node._held
-            assert not w.node._balancer._requests and not w.node._balancer._attempts
-            await until(lambda: not w.node._callers._open)
+            assert _nothing_left(w.node.requests)
+            policy: Any = w.node.policy
+            assert not policy._requests and not policy._attempts
+            await until(lambda: not w.node.downstream.connections)
             assert len(one.received) + len(two.received) == 1
 
     run(main())
@@ -293,15 +306,16 @@
 
     async def main() -> None:
         async with StubServer([silent]) as server, world(row("a", server.address)) as w:
-            monkeypatch.setattr(w.node._balancer, "_place", lambda *_: False)
-            monkeypatch.setattr(w.node._balancer, "_expire", lambda _: None)
+            monkeypatch.setattr(w.node.policy, "_place", lambda *_: False)
+            monkeypatch.setattr(w.node.policy, "_expire", lambda _: None)
+            policy: Any = w.node.policy
             caller = _blocking(w.address)
-            await until(lambda: w.node._balancer._queue)
+            await until(lambda: policy._queue)
             caller.close()
             monkeypatch.undo()
-            w.node._post(TimerFired(0))
-            assert not w.node._requests and not w.node._calls and not w.node._balancer._queue
-            await until(lambda: not w.node._callers._open)
+            w.node.handle_event(TimerFired(0))
+            assert not w.node.requests and not w.node.requests.attempts_in_flight and not policy._queue
+            await until(lambda: not w.node.downstream.connections)
             assert not server.received
 
     run(main())
@@ -310,10 +324,10 @@
 # ---------------------------------------------------------------- closing between requests
 
 
-async def _rested(w: World) -> tuple[socket.socket, CallerConnection]:
+async def _rested(w: World) -> tuple[socket.socket, DownstreamConnection]:
     """A usual caller whose first request has been answered, and the node's end of its connection."""
     caller = _blocking(w.address)
-    (connection,) = await until(lambda: [c for c in w.node._callers._open if c.answered])
+    (connection,) = await until(lambda: [c for c in w.node.downstream.connections if c.answered])
     return caller, connection
 
 
@@ -325,11 +339,11 @@
             caller, connection = await _rested(w)
             with caller:
                 caller.sendall(request("look"))  # and before the loop turns
-                assert not w.node._callers._shed_one(CallerConnection(w.node._callers))
-                assert connection in w.node._callers._open
+                assert not w.node.downstream.evict_one(DownstreamConnection(w.node.downstream))
+                assert connection in w.node.downstream.connections
                 answers = asyncio.create_task(_read_answer(caller))
                 await until(lambda: len(server.received) == 2)
-                connection.make_way()
+                connection.evict()
                 assert (await answers).count(b"200 OK") == 2
 
     run(main())
@@ -346,13 +360,17 @@
             with caller:
                 if within:
                     caller.sendall(text[:30])
-                    await until(lambda: connection._reader.within)
+                    await until(lambda: connection.is_receiving_request)
                 caller.sendall(text[30 if within else 0 :])
-                most = callers_module.REQUEST_S if within else callers_module.IDLE_S
-                connection.check(connection.since + most + 0.01)  # before the loop turns
+                most = (
+                    downstream_connection.REQUEST_TIMEOUT_S
+                    if within
+                    else downstream_connection.IDLE_TIMEOUT_S
+                )
+                connection.enforce_timeouts(connection.waiting_since + most + 0.01)  # before the loop turns
                 answers = asyncio.create_task(_read_answer(caller))
                 await until(lambda: len(server.received) == 2)
-                connection.make_way()
+                connection.evict()
                 assert (await answers).count(b"200 OK") == 2
 
     run(main())
@@ -362,32 +380,33 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     looks = 0
-    may_go = CallerConnection.may_go
+    is_evictable = DownstreamConnection.is_evictable
 
-    def counted(connection: CallerConnection, now: float) -> bool:
+    def counted(connection: DownstreamConnection, now: float) -> bool:
         nonlocal looks
         looks += 1
-        return may_go(connection, now)
+        return is_evictable(connection, now)
 
-    monkeypatch.setattr(CallerConnection, "may_go", counted)
+    monkeypatch.setattr(DownstreamConnection, "is_evictable", counted)
 
     async def main() -> None:
         nonlocal looks
         async with StubServer([reply("200 OK")]) as server, world(row("a", server.address)) as w:
-            most = w.node._callers._most
+            most = w.node.downstream.max_connections
+            incomplete = eviction.EvictionPriority.REQUEST_INCOMPLETE
             open_ones = [await w.caller() for _ in range(most)]
             for caller in open_ones:
                 caller.writer.write(request("look")[:30])  # none of them may go yet
-            await until(lambda: len(w.node._callers._lines[3]) == most)
+            await until(lambda: w.node.downstream.eviction_queues.count(incomplete) == most)
             looks = 0
             newcomer = await w.caller()
-            await until(lambda: len(w.node._callers._open) == most + 1)
-            assert 0 < looks <= 4 * callers_module.LOOKS
+            await until(lambda: len(w.node.downstream.connections) == most + 1)
+            assert 0 < looks <= 4 * eviction.SCAN_LIMIT
             for caller in open_ones:
                 caller.close()
             newcomer.close()
-            await until(lambda: not w.node._callers._open)
-            assert not any(w.node._callers._lines), "a line holds on to what has gone"
+            await until(lambda: not w.node.downstream.connections)
+            assert not w.node.downstream.eviction_queues, "a line holds on to what has gone"
 
     run(main())
 
@@ -411,9 +430,9 @@
 ) -> None:
     async def main() -> None:
         async with world(row("a", f"{HOST}:1"), profiles=_profiles(*deadlines_ms)) as w:
-            last = w.node._last_s
+            last = w.node.shutdown.answer_within_s
             assert last >= min(max(deadlines_ms) / 1000.0, 3.0), "what came before SIGTERM has its time"
-            end = last + node_module.LAST_BEFORE_S / 2 + node_module.DRAIN_CHECK_S + node_module.FLUSH_S
+            end = last + lifecycle.KILL_MARGIN_S / 2 + lifecycle.DRAIN_CHECK_S + lifecycle.FLUSH_S
             assert end + 0.1 <= kill_s
 
     run(main())
@@ -423,7 +442,7 @@
     async def main() -> None:
         async with StubServer([reply("200 OK", b"late")]) as server, world(row("a", server.address)) as w:
             caller = await w.caller()
-            await until(lambda: w.node._callers._open)
+            await until(lambda: w.node.downstream.connections)
             w.node.terminate()
             answer = await caller.ask("look")
             assert (answer.body, answer.headers["connection"]) == (b"late", "close")
@@ -454,7 +473,7 @@
     async def main() -> None:
         async with StubServer([reply("200 OK", b"x")]) as server, world(row("a", server.address)) as w:
             with _blocking(w.address) as caller:
-                await until(lambda: any(c.answered for c in w.node._callers._open))
+                await until(lambda: any(c.answered for c in w.node.downstream.connections))
                 caller.sendall(request("look"))  # and before the loop turns
                 w.node.terminate()
                 answers = await _read_answer(caller)
@@ -466,14 +485,14 @@
 def test_a_connection_that_waits_to_be_accepted_at_the_end_is_answered(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(node_module, "QUIET_S", PATIENCE_S)  # the end is looked for below
-    monkeypatch.setattr(node_module, "SILENT_S", 0.0)
+    monkeypatch.setattr(lifecycle, "MIN_DRAIN_S", PATIENCE_S)  # the end is looked for below
+    monkeypatch.setattr(lifecycle, "QUIET_PERIOD_S", 0.0)
 
     async def main() -> None:
         async with StubServer([reply("200 OK", b"x")]) as server, world(row("a", server.address)) as w:
             w.node.terminate()
             with _blocking(w.address) as caller:
-                w.node._end_when_quiet()  # in the turn in which it came
+                w.node.shutdown.check_drained()  # in the turn in which it came
                 assert b"200 OK" in await _read_answer(caller)
             await asyncio.wait_for(w.serving, PATIENCE_S)
 
@@ -489,9 +508,9 @@
             caller.writer.write(_bookings(1))
             await asyncio.wait_for(server.got.wait(), PATIENCE_S)
             w.node.terminate()
-            monkeypatch.setattr(w.node, "_last_s", -1.0)  # the time has run out
+            monkeypatch.setattr(w.node.shutdown, "answer_within_s", -1.0)  # the time has run out
             with _blocking(w.address):
-                w.node._end_when_quiet()
+                w.node.shutdown.check_drained()
                 assert (await caller.answer()).status == 500
                 await asyncio.wait_for(w.serving, PATIENCE_S)
             assert len(server.received) == 1
@@ -516,7 +535,7 @@
             caller = await w.caller()
             assert (await caller.ask(target="/ready")).status == 503
             tell(watch, listing(2, row("a", one.address, "DRAINING"), reset=False))
-            await until(lambda: w.node._discovery.heard)
+            await until(lambda: w.node.discovery.heard)
             assert (await caller.ask(target="/ready")).status == 200
             assert {(await caller.ask("look")).body for _ in range(5)} == {b"b"}
 
@@ -524,7 +543,7 @@
 
 
 def test_a_new_process_does_not_wait_for_an_agent_that_stays_silent(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(node_module, "KNOWN_WAIT_S", 0.0)
+    monkeypatch.setattr(lifecycle, "FIRST_LIST_WAIT_S", 0.0)
 
     async def main() -> None:
         async with (
@@ -600,8 +619,9 @@
             text = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"
             os.write(server.writers[0].get_extra_info("socket").fileno(), text)
             caller.close()
-            await until(lambda: not w.node._requests and not w.node._calls and not w.node._callers._open)
-            assert not w.node._held and not w.node._balancer._attempts and not w.node._balancer._requests
+            await until(lambda: _nothing_left(w.node.requests) and not w.node.downstream.connections)
+            policy: Any = w.node.policy
+            assert not policy._attempts and not policy._requests
             server.release.set()
 
     run(main())
@@ -634,18 +654,21 @@
     async def main() -> None:
         async with StubServer([reply("200 OK", b"x")]) as server, world(row("a", server.address)) as w:
             callers = [] if new else [_blocking(w.address) for _ in range(2)]
-            await until(lambda: len([c for c in w.node._callers._open if c.answered]) == len(callers))
+            await until(lambda: len([c for c in w.node.downstream.connections if c.answered]) == len(callers))
             events = _events(w.node, monkeypatch)
             clock = _StandingClock(monkeypatch)
             await _idle_turns(clock)
-            w.node._turns.note()  # here it begins to be busy
+            w.node.downstream.iterations.mark_activity()  # here it begins to be busy
             for i, deadline in enumerate(("1.0", "0.5")):
                 if new:
                     callers.append(socket.create_connection(w.address, timeout=PATIENCE_S))
                 callers[i].sendall(request("look", deadline=deadline))
             clock.now += 0.8
             await until(lambda: len(_budgets(events)) == 2)
-            assert sorted(_budgets(events)) == [1.0, pytest.approx(200.0 - node_module.RESERVE_MS, abs=1e-3)]
+            assert sorted(_budgets(events)) == [
+                1.0,
+                pytest.approx(200.0 - node_module.BUDGET_RESERVE_MS, abs=1e-3),
+            ]
             monkeypatch.undo()
             for caller in callers:
                 caller.close()
@@ -657,14 +680,14 @@
     async def main() -> None:
         async with StubServer([reply("200 OK", b"x")]) as server, world(row("a", server.address)) as w:
             with _blocking(w.address) as caller:
-                await until(lambda: any(c.answered for c in w.node._callers._open))
+                await until(lambda: any(c.answered for c in w.node.downstream.connections))
                 events = _events(w.node, monkeypatch)
                 clock = _StandingClock(monkeypatch)
-                w.node._turns.note()
+                w.node.downstream.iterations.mark_activity()
                 await _idle_turns(clock)
                 caller.sendall(request("look", deadline="1.0"))
                 await until(lambda: _budgets(events))
-                assert _budgets(events) == [pytest.approx(1000.0 - node_module.RESERVE_MS, abs=1e-3)]
+                assert _budgets(events) == [pytest.approx(1000.0 - node_module.BUDGET_RESERVE_MS, abs=1e-3)]
                 monkeypatch.undo()
 
     run(main())
--- a/tests/test_run.py
+++ b/tests/test_run.py
@@ -15,8 +15,8 @@
 
 import pytest
 
-from load_balancer.__main__ import _RateLimit
-from load_balancer.proxy import server as node_module
+from load_balancer.logging_setup import LogRateLimit
+from load_balancer.proxy.lifecycle import FIRST_LIST_WAIT_S
 from tests.stubs import (
     HOST,
     PATIENCE_S,
@@ -59,7 +59,7 @@
     """The address of a node that has just been started."""
     assert process.stderr is not None
     line = (await asyncio.wait_for(process.stderr.readline(), PATIENCE_S)).decode()
-    found = re.search(r"listens on ([\d.]+):(\d+)", line)
+    found = re.search(r"node_listening name=n0 address=([\d.]+):(\d+)", line)
     assert found, line
     return found[1], int(found[2])
 
@@ -120,7 +120,7 @@
             used_s = (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
             process.send_signal(signal.SIGTERM)
             assert await asyncio.wait_for(process.wait(), PATIENCE_S) == 0
-            assert used_s / 0.2 + node_module.KNOWN_WAIT_S < 10.0
+            assert used_s / 0.2 + FIRST_LIST_WAIT_S < 10.0
 
     run(main())
 
@@ -242,7 +242,7 @@
 
 
 def test_a_flood_of_log_lines_is_cut_and_counted() -> None:
-    limit = _RateLimit(a_second=0.0, at_once=3.0)
+    limit = LogRateLimit(lines_per_s=0.0, burst=3.0)
 
     def record() -> logging.LogRecord:
         return logging.LogRecord("x", logging.WARNING, "", 0, "server %s", ("a",), None)
@@ -250,4 +250,4 @@
     assert [limit.filter(record()) for _ in range(5)] == [True, True, True, False, False]
     limit._tokens = 1.0
     last = record()
-    assert limit.filter(last) and last.getMessage() == "(2 lines left out) server a"
+    assert limit.filter(last) and last.getMessage() == "server a suppressed_lines=2"
--- a/tests/test_split.py
+++ b/tests/test_split.py
@@ -90,7 +90,9 @@
                 assert len(one.received) + len(two.received) == 1
             one.release.set()
             two.release.set()
-            await until(lambda: not w.node._calls and not w.node._held)
+            await until(
+                lambda: not w.node.requests.attempts_in_flight and not w.node.requests.reserved_client_ids
+            )
 
     run(main())
 
@@ -140,6 +142,8 @@
             names = [r.headers["x-request-id"] for r in bookings if "idempotency-key" not in r.headers]
             assert len(names) == len(set(names))
             mute.release.set()
-            await until(lambda: not w.node._calls and not w.node._held)
+            await until(
+                lambda: not w.node.requests.attempts_in_flight and not w.node.requests.reserved_client_ids
+            )
 
     run(main())
