--- a/load_balancer/proxy/server.py
+++ b/load_balancer/proxy/server.py
@@ -100,29 +100,38 @@
             most_open=shares.upstream,
         )
         self._health_checker = HealthChecker(self._pools, self._clock, self._host, self.handle_event)
-        self._discovery = EndpointDiscovery(
-            config.discovery,
-            config.naming,
+        self._discovery = self._create_discovery()
+        self._downstream = self._create_downstream(shares.downstream)
+        self._shutdown = GracefulShutdown(
+            self._downstream,
+            longest_deadline_s=max(c.deadline_ms for c in settings.classes) / 1000.0,
+            fail_open_requests=self._fail_open_requests,
+            stop=self.stop,
+        )
+
+    def _create_discovery(self) -> EndpointDiscovery:
+        settings = self._config.settings
+        return EndpointDiscovery(
+            self._config.discovery,
+            self._config.naming,
             pushed=not settings.poll_endpoint_list,
             call_s=POLL_TIMEOUT_FRACTION * settings.poll_within_ms / 1000.0,
             grace_s=settings.drain_grace_ms / 1000.0,
             on_list=self._update_endpoints,
             on_failed=lambda: self.handle_event(EndpointListUpdate(EndpointListKind.FAILED)),
         )
-        readiness = Readiness(self._pools, self._discovery, lists_are_pushed=not settings.poll_endpoint_list)
-        self._downstream = DownstreamServer(
+
+    def _create_downstream(self, max_connections: int) -> DownstreamServer:
+        settings = self._config.settings
+        lists_are_pushed = not settings.poll_endpoint_list
+        readiness = Readiness(self._pools, self._discovery, lists_are_pushed=lists_are_pushed)
+        return DownstreamServer(
             RequestParser(settings),
             self._accept_request,
             readiness.is_ready,
             self._iterations,
-            max_connections=shares.downstream,
-            max_body_bytes=int(BODY_MEMORY_FRACTION * config.limits.memory_mb * 1_000_000),
-        )
-        self._shutdown = GracefulShutdown(
-            self._downstream,
-            longest_deadline_s=max(c.deadline_ms for c in settings.classes) / 1000.0,
-            fail_open_requests=self._fail_open_requests,
-            stop=self.stop,
+            max_connections=max_connections,
+            max_body_bytes=int(BODY_MEMORY_FRACTION * self._config.limits.memory_mb * 1_000_000),
         )
 
     # What the node is made of, for inspection.
