--- a/load_balancer/proxy/server.py
+++ b/load_balancer/proxy/server.py
@@ -73,7 +73,7 @@
 class Policy(Protocol):
     """What makes the decisions."""
 
-    def handle(self, event: Event, now: float) -> list[Action]:
+    def handle(self, event: Event, now: float, /) -> list[Action]:
         """The actions that follow from one event; now is in milliseconds on the node's clock."""
 
 
--- /dev/null
+++ b/tests/proxy/test_attempts.py
@@ -0,0 +1,214 @@
+"""Attempts that race with their client's end, with their request's response, or with a broken connection."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+
+import pytest
+
+from load_balancer.actions import Action
+from load_balancer.events import Event, Outcome, RequestArrived, TimerFired
+from load_balancer.proxy import downstream
+from load_balancer.proxy.server import Node
+from tests.proxy.node_harness import (
+    PATIENT_CONNECT,
+    DelayedConnections,
+    PolicyRecorder,
+    blocking_client,
+    nothing_left,
+    policy_limits,
+    replace_policy,
+)
+from tests.stubs import (
+    HOST,
+    PATIENCE_S,
+    StubServer,
+    async_test,
+    held,
+    read_head,
+    reply,
+    request,
+    row,
+    silent,
+    until,
+    world,
+)
+
+
+@pytest.mark.parametrize("cancel", [True, False])
+@async_test
+async def test_attempt_is_not_written_when_connection_comes_up_after_client_left(
+    cancel: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    limits = policy_limits(cancel=cancel, connectTimeoutMs=1000.0 * PATIENCE_S)
+    async with (
+        StubServer([reply("200 OK")]) as endpoint,
+        world(row("a", endpoint.address), **limits) as w,
+    ):
+        delayed = DelayedConnections(monkeypatch, [endpoint])
+        recorder = PolicyRecorder(w.node)
+        client = await w.caller()
+        client.writer.write(request("book"))
+        await asyncio.wait_for(delayed.begun.wait(), PATIENCE_S)
+        client.close()
+        await until(lambda: not w.node.requests)
+        delayed.release.set()
+        await until(lambda: not delayed.opening)
+        assert recorder.outcomes in ([Outcome.NOT_SENT], [Outcome.CANCELLED])
+        assert (await (await w.caller()).ask("look", name="next")).status == 200
+        assert [received.headers["x-request-id"] for received in endpoint.received] == ["next"]
+        assert not w.node.requests.attempts_in_flight
+        assert not w.node.requests.reserved_client_ids
+
+
+@pytest.mark.parametrize("cancel", [True, False])
+@async_test
+async def test_hedged_attempt_is_not_written_when_connection_comes_up_after_response(
+    cancel: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The first attempt is answered while the connection of the hedged one is still coming up."""
+    limits = policy_limits(cancel=cancel, connectTimeoutMs=1000.0 * PATIENCE_S, tryLimit=2)
+    async with (
+        StubServer([reply("200 OK", extra="Connection: close\r\n")]) as one,
+        StubServer([reply("200 OK", extra="Connection: close\r\n")]) as two,
+        world(row("a", one.address), row("b", two.address), **limits) as w,
+    ):
+        client = await w.caller()
+        # From this response on the policy knows how long responses take, and hedges what takes longer.
+        assert (await client.ask("look")).status == 200
+        warm_up_requests = len(one.received) + len(two.received)
+        one.behaviours[:] = two.behaviours[:] = [held(reply("200 OK", b"first"))]
+        delayed = DelayedConnections(monkeypatch, [])
+        recorder = PolicyRecorder(w.node)
+        others = {b"a": two, b"b": one}
+        recorder.on_attempt = lambda endpoint_id: delayed.delay([others[endpoint_id]])
+        client.writer.write(request("look", name="twice", deadline="600"))
+        await asyncio.wait_for(delayed.begun.wait(), PATIENCE_S)
+        await until(lambda: len(one.received) + len(two.received) > warm_up_requests)
+        one.release.set()
+        two.release.set()
+        assert (await client.answer()).body == b"first"
+        delayed.release.set()
+        await until(lambda: not delayed.opening)
+        assert recorder.outcomes[0] is Outcome.OK, "the outcome that ended it comes first"
+        assert len(recorder.outcomes) == 2
+        assert len(one.received) + len(two.received) == warm_up_requests + 1
+        assert not w.node.requests.attempts_in_flight
+        assert not w.node.requests.reserved_client_ids
+
+
+@async_test
+async def test_attempt_is_not_written_after_unread_client_left(monkeypatch: pytest.MonkeyPatch) -> None:
+    """With two requests open the connection is not read; only the poll of each attempt remains."""
+    monkeypatch.setattr(downstream, "DISCONNECT_CHECK_S", PATIENCE_S)
+    async with (
+        StubServer([silent]) as endpoint,
+        world(row("a", endpoint.address), **PATIENT_CONNECT) as w,
+    ):
+        delayed = DelayedConnections(monkeypatch, [endpoint])
+        client = await w.caller()
+        client.writer.write(request("look", deadline="600") + request("book", deadline="600"))
+        await until(lambda: delayed.opening == 2)
+        client.close()
+        await until(lambda: next(iter(w.node.downstream.connections)).client_has_left())
+        delayed.release.set()
+        await until(lambda: not delayed.opening)
+        assert nothing_left(w.node.requests)
+        await until(lambda: not w.node.downstream.connections)
+        assert not endpoint.received
+
+
+@pytest.mark.parametrize("outcome", [Outcome.CONNECT_FAILED, Outcome.RESET, Outcome.REJECTED])
+@async_test
+async def test_retry_does_not_begin_before_client_end_is_read(outcome: Outcome) -> None:
+    """The client's end and the outcome that asks for a retry are both there in the loop's next iteration."""
+    async with (
+        StubServer([silent]) as one,
+        StubServer([silent]) as two,
+        world(row("a", one.address), row("b", two.address)) as w,
+    ):
+        recorder = PolicyRecorder(w.node)
+        client = blocking_client(w.address)
+        await until(lambda: one.received or two.received)
+        client.close()
+        (attempt,) = w.node.requests.attempts_in_flight
+        attempt.give_up(outcome)
+        assert nothing_left(w.node.requests)
+        assert recorder.events and recorder.nothing_open
+        await until(lambda: not w.node.downstream.connections)
+        assert len(one.received) + len(two.received) == 1
+
+
+class _QueueingPolicy:
+    """Keeps arrivals from a node's policy until a timer fires, as if they had been queued.
+
+    Attributes:
+        queue: the arrivals that wait.
+    """
+
+    def __init__(self, node: Node) -> None:
+        self.queue: list[RequestArrived] = []
+        self._handle = replace_policy(node, self._queue_arrivals)
+
+    def _queue_arrivals(self, event: Event, now: float) -> list[Action]:
+        if isinstance(event, RequestArrived):
+            self.queue.append(event)
+            return []
+        if isinstance(event, TimerFired) and self.queue:
+            return self._handle(self.queue.pop(), now)
+        return self._handle(event, now)
+
+
+@async_test
+async def test_queued_request_of_client_that_left_is_not_sent(caplog: pytest.LogCaptureFixture) -> None:
+    """The policy takes it from its queue before the loop reads the client's end."""
+    async with StubServer([silent]) as endpoint, world(row("a", endpoint.address)) as w:
+        policy = _QueueingPolicy(w.node)
+        recorder = PolicyRecorder(w.node)
+        client = blocking_client(w.address)
+        await until(lambda: policy.queue)
+        client.close()
+        w.node.handle_event(TimerFired(0))
+        assert not policy.queue and nothing_left(w.node.requests)
+        assert recorder.outcomes == [Outcome.NOT_SENT] and recorder.nothing_open
+        await until(lambda: not w.node.downstream.connections)
+        assert not endpoint.received
+        assert "policy_failed" not in caplog.text
+
+
+@async_test
+async def test_half_written_request_is_not_resent() -> None:
+    """Its last byte may have been sent or not: what cannot be known counts as run."""
+    opened = 0
+
+    async def break_at_head(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        nonlocal opened
+        opened += 1
+        await read_head(reader)
+        writer.transport.abort()
+
+    server = await asyncio.start_server(break_at_head, HOST, 0, limit=1024)
+    address = f"{HOST}:{server.sockets[0].getsockname()[1]}"
+    async with world(row("a", address), row("b", address.replace("127.0.0.1", "127.0.0.2"))) as w:
+        recorder = PolicyRecorder(w.node)
+        client = await w.caller()
+        response = await client.ask("book", body=b"x" * 60_000)
+        assert response.status == 502
+        assert recorder.outcomes.count(Outcome.RESET) == 1 and opened == 1
+    server.close()
+
+
+@async_test
+async def test_response_and_client_end_in_one_iteration_leave_nothing_open() -> None:
+    """The endpoint's response and the client's end both lie unread in the loop's next iteration."""
+    async with StubServer([silent]) as endpoint, world(row("a", endpoint.address)) as w:
+        recorder = PolicyRecorder(w.node)
+        client = blocking_client(w.address)
+        await until(lambda: endpoint.writers and endpoint.received)
+        text = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"
+        os.write(endpoint.writers[0].get_extra_info("socket").fileno(), text)
+        client.close()
+        await until(lambda: nothing_left(w.node.requests) and not w.node.downstream.connections)
+        assert recorder.events and recorder.nothing_open
+        endpoint.release.set()
--- /dev/null
+++ b/tests/proxy/test_downstream.py
@@ -0,0 +1,187 @@
+"""All client connections together: limits, eviction, and clients that leave unread."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from collections.abc import Callable
+
+import pytest
+
+from load_balancer.proxy.downstream_connection import (
+    PAUSE_READING_AT,
+    DownstreamConnection,
+)
+from load_balancer.proxy.eviction import SCAN_LIMIT, EvictionPriority
+from tests.proxy.node_harness import (
+    answered_client,
+    ignore_events,
+    open_requests,
+    read_to_end,
+    replace_policy,
+)
+from tests.stubs import (
+    PATIENCE_S,
+    Caller,
+    StubServer,
+    async_test,
+    held,
+    reply,
+    request,
+    row,
+    silent,
+    until,
+    world,
+)
+
+
+def _reset(client: Caller) -> None:
+    client_socket = client.writer.get_extra_info("socket")
+    client_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    client.close()
+
+
+@async_test
+async def test_unused_connections_are_evicted_before_used_ones() -> None:
+    async with (
+        StubServer([reply("200 OK")]) as endpoint,
+        world(row("a", endpoint.address), sockets=64) as w,
+    ):
+        used = await w.caller()
+        assert (await used.ask("look")).status == 200
+        most = w.node.downstream.max_connections
+        unused = [await w.caller() for _ in range(most - 1)]
+        for client in unused:
+            assert (await client.ask(target="/ready")).status == 200
+        silent_ones = [await w.caller() for _ in range(most)]
+        assert await unused[0].ended() and await silent_ones[0].ended()
+        newcomer = await w.caller()
+        assert (await newcomer.ask("look")).status == 200, "rejected, though others could be evicted"
+        assert (await used.ask("look")).status == 200
+        assert len(w.node.downstream.connections) <= most
+
+
+@async_test
+async def test_new_connections_do_not_evict_each_other_while_others_are_idle() -> None:
+    """Each connects, and its request comes a moment later; the table is full of idle connections."""
+    async with StubServer([reply("200 OK")]) as endpoint, world(row("a", endpoint.address), sockets=96) as w:
+        most = w.node.downstream.max_connections
+        idle = [await w.caller() for _ in range(most)]
+        for client in idle:
+            assert (await client.ask("look")).status == 200
+        newcomers = [await w.caller() for _ in range(most // 2)]
+        for client in newcomers:
+            assert (await client.ask("look")).status == 200, "closed before its request could come"
+        assert await idle[0].ended()
+        assert len(w.node.downstream.connections) <= most
+
+
+@async_test
+async def test_bodies_beyond_memory_limit_are_rejected_until_released() -> None:
+    """Guards against being killed for memory by clients that send large bodies all at once."""
+    async with StubServer([silent, reply("200 OK")]) as endpoint, world(row("a", endpoint.address)) as w:
+        w.node.downstream.max_body_bytes = 150
+        first = await w.caller()
+        first.writer.write(request("book", body=b"x" * 100))
+        await asyncio.wait_for(endpoint.got.wait(), PATIENCE_S)
+        response = await (await w.caller()).ask("book", body=b"x" * 100)
+        assert response.status == 503
+        assert float(response.headers["retry-after"]) > 0
+        assert len(endpoint.received) == 1
+        first.close()
+        await until(lambda: not w.node.requests)
+        assert (await (await w.caller()).ask("book", body=b"x" * 100)).status == 200
+        endpoint.release.set()
+
+
+@async_test
+async def test_connections_over_limit_are_rejected_and_idle_ones_evicted() -> None:
+    async with StubServer([silent]) as endpoint, world(row("a", endpoint.address), sockets=64) as w:
+        replace_policy(w.node, ignore_events)
+        most = w.node.downstream.max_connections
+        idle = await w.caller()
+        assert (await idle.ask(target="/ready")).status == 200
+        busy = [await w.caller() for _ in range(most)]
+        assert await idle.ended(), "the idle connection was not evicted"
+        for client in busy:
+            client.writer.write(request("look", deadline="5"))
+        await until(lambda: len(w.node.requests) >= most)
+        response = await (await w.caller()).ask("look")
+        assert response.status == 503
+        assert float(response.headers["retry-after"]) > 0
+        assert len(w.node.requests) == most
+        endpoint.release.set()
+        for client in busy:
+            client.close()
+
+
+@pytest.mark.parametrize(
+    "leave", [Caller.close, _reset, lambda client: client.writer.write_eof()], ids=["close", "reset", "eof"]
+)
+@async_test
+async def test_client_that_leaves_while_reading_is_paused_is_noticed(
+    leave: Callable[[Caller], None],
+) -> None:
+    """Two responses are due, a third request lies unread, and the client's end lies behind that."""
+    async with StubServer([held(reply("200 OK"))]) as endpoint, world(row("a", endpoint.address)) as w:
+        client = await w.caller()
+        client.writer.write(open_requests(2))
+        await until(lambda: len(endpoint.received) == PAUSE_READING_AT)
+        (connection,) = w.node.downstream.connections
+        assert connection.client_socket is not None and not connection.is_reading
+        client.writer.write(open_requests(1))
+        await client.writer.drain()
+        leave(client)
+        await until(lambda: not w.node.requests)
+        await until(lambda: not w.node.downstream.connections)
+        endpoint.release.set()
+        await until(lambda: not w.node.requests.attempts_in_flight)
+        assert (await (await w.caller()).ask("look")).status == 200
+        assert len(endpoint.received) == PAUSE_READING_AT + 1, "what nobody waited for was forwarded"
+        assert not w.node.downstream.paused_connections
+
+
+@async_test
+async def test_connection_with_unread_request_is_not_evicted() -> None:
+    """It counts as accepted, and the close would reset it with no response."""
+    async with StubServer([reply("200 OK", b"x")]) as endpoint, world(row("a", endpoint.address)) as w:
+        client, connection = await answered_client(w)
+        with client:
+            client.sendall(request("look"))  # and before the loop's next iteration
+            assert not w.node.downstream.evict_one(DownstreamConnection(w.node.downstream))
+            assert connection in w.node.downstream.connections
+            responses = asyncio.create_task(read_to_end(client))
+            await until(lambda: len(endpoint.received) == 2)
+            connection.evict()
+            assert (await responses).count(b"200 OK") == 2
+
+
+@async_test
+async def test_eviction_scan_is_bounded(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    examined: list[DownstreamConnection] = []
+    is_evictable = DownstreamConnection.is_evictable
+
+    def recorded(connection: DownstreamConnection, now: float) -> bool:
+        examined.append(connection)
+        return is_evictable(connection, now)
+
+    monkeypatch.setattr(DownstreamConnection, "is_evictable", recorded)
+    async with StubServer([reply("200 OK")]) as endpoint, world(row("a", endpoint.address)) as w:
+        most = w.node.downstream.max_connections
+        incomplete = EvictionPriority.REQUEST_INCOMPLETE
+        clients = [await w.caller() for _ in range(most)]
+        for client in clients:
+            client.writer.write(request("look")[:30])  # none of them may be evicted yet
+        await until(lambda: w.node.downstream.eviction_queues.count(incomplete) == most)
+        examined.clear()
+        newcomer = await w.caller()
+        await until(lambda: len(w.node.downstream.connections) == most + 1)
+        assert 0 < len(examined) <= 4 * SCAN_LIMIT
+        for client in clients:
+            client.close()
+        newcomer.close()
+        await until(lambda: not w.node.downstream.connections)
+        assert not w.node.downstream.eviction_queues, "a queue holds on to what has gone"
--- /dev/null
+++ b/tests/proxy/test_downstream_connection.py
@@ -0,0 +1,154 @@
+"""One client connection: pipelining, timeouts, slow readers, and clients that leave."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+import pytest
+
+from load_balancer.proxy.downstream_connection import (
+    IDLE_TIMEOUT_S,
+    MAX_PIPELINED_REQUESTS,
+    REQUEST_TIMEOUT_S,
+)
+from tests.proxy.node_harness import (
+    PolicyRecorder,
+    answered_client,
+    connect_with_small_buffers,
+    open_requests,
+    read_to_end,
+)
+from tests.stubs import (
+    PATIENCE_S,
+    StubServer,
+    async_test,
+    reply,
+    request,
+    row,
+    silent,
+    until,
+    world,
+)
+
+
+@async_test
+async def test_unreadable_input_is_answered_before_open_requests() -> None:
+    async with StubServer([silent]) as endpoint, world(row("a", endpoint.address)) as w:
+        client = await w.caller()
+        client.writer.write(request("book"))
+        await asyncio.wait_for(endpoint.got.wait(), PATIENCE_S)
+        client.writer.write(b"nonsense\r\n\r\n" * 5)
+        assert (await client.answer()).status == 400
+        assert await client.ended(), "more than one response"
+        assert not w.node.requests and not w.node.requests.reserved_client_ids
+        endpoint.release.set()
+
+
+@async_test
+async def test_slow_reader_gets_complete_last_response(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("load_balancer.proxy.downstream_connection.LINGER_S", 0.01)
+    body = b"x" * 60_000
+    async with StubServer([reply("200 OK", body)]) as endpoint, world(row("a", endpoint.address)) as w:
+        loop = asyncio.get_running_loop()
+        with socket.socket() as client:
+            connection = await connect_with_small_buffers(client, w)
+            await loop.sock_sendall(client, request("look", extra="Connection: close\r\n"))
+            await until(lambda: connection.finished)
+            assert connection.has_unsent_output(), "the test needs a response beyond the buffers"
+            checks = 0
+            abort_when_sent = connection.abort_when_sent
+
+            def counted() -> None:
+                nonlocal checks
+                checks += 1
+                abort_when_sent()
+
+            monkeypatch.setattr(connection, "abort_when_sent", counted)
+            await until(lambda: checks > 2)
+            received = b""
+            while part := await loop.sock_recv(client, 4096):
+                received += part
+            assert received.endswith(body)
+
+
+@async_test
+async def test_pipelined_requests_are_limited() -> None:
+    async with StubServer([silent]) as endpoint, world(row("a", endpoint.address)) as w:
+        recorder = PolicyRecorder(w.node)
+        client = await w.caller()
+        client.writer.write(b"".join(request("look") for _ in range(300)))
+        assert (await client.answer()).status == 400
+        assert await client.ended()
+        assert len(recorder.budgets) <= MAX_PIPELINED_REQUESTS
+        endpoint.release.set()
+
+
+@pytest.mark.parametrize(
+    ("begun", "status"), [(b"", None), (request("book", body=b"x")[:-1], 408), (b"POST /api HT", 408)]
+)
+@async_test
+async def test_missing_first_request_times_out(
+    begun: bytes, status: int | None, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("load_balancer.proxy.downstream_connection.FIRST_REQUEST_TIMEOUT_S", 0.05)
+    monkeypatch.setattr("load_balancer.proxy.downstream_connection.UNUSED_IDLE_TIMEOUT_S", 0.05)
+    async with StubServer([silent]) as endpoint, world(row("a", endpoint.address)) as w:
+        client = await w.caller()
+        client.writer.write(begun)
+        if status is not None:
+            assert (await client.answer()).status == status
+        assert await client.ended()
+        assert not endpoint.received
+
+
+@async_test
+async def test_pipelined_requests_are_answered_in_order() -> None:
+    behaviours = [reply("200 OK", b"%d" % i) for i in range(8)]
+    async with StubServer(behaviours) as endpoint, world(row("a", endpoint.address)) as w:
+        client = await w.caller()
+        client.writer.write(b"".join(request("look", target=f"/api/{i}") for i in range(8)))
+        bodies = [(await client.answer()).body for _ in range(8)]
+        by_target = {got.target: b"%d" % i for i, got in enumerate(endpoint.received)}
+        assert bodies == [by_target[f"/api/{i}"] for i in range(8)]
+
+
+@async_test
+async def test_client_that_leaves_during_a_response_ends_its_other_requests() -> None:
+    behaviours = [reply("200 OK", b"x" * 60_000), silent]
+    async with StubServer(behaviours) as endpoint, world(row("a", endpoint.address)) as w:
+        loop = asyncio.get_running_loop()
+        with socket.socket() as client:
+            connection = await connect_with_small_buffers(client, w)
+            await loop.sock_sendall(client, request("look"))
+            await until(lambda: connection.answered)
+            assert connection.has_unsent_output(), "the test needs a response beyond the buffers"
+            await loop.sock_sendall(client, open_requests(1))
+            await until(lambda: len(endpoint.received) == 2)
+            client.shutdown(socket.SHUT_WR)
+            await until(lambda: not w.node.requests)
+            assert connection.has_unsent_output(), "the test needs a response that is still being sent"
+            endpoint.release.set()
+
+
+@pytest.mark.parametrize("within", [False, True], ids=["idle", "half a request"])
+@async_test
+async def test_connection_with_unread_request_is_not_timed_out(
+    within: bool,
+) -> None:
+    async with StubServer([reply("200 OK", b"x")]) as endpoint, world(row("a", endpoint.address)) as w:
+        client, connection = await answered_client(w)
+        text = request("look")
+        with client:
+            if within:
+                client.sendall(text[:30])
+                await until(lambda: connection.is_receiving_request)
+            client.sendall(text[30 if within else 0 :])
+            timeout_s = REQUEST_TIMEOUT_S if within else IDLE_TIMEOUT_S
+            connection.enforce_timeouts(
+                connection.waiting_since + timeout_s + 0.01
+            )  # before the loop's next iteration
+            responses = asyncio.create_task(read_to_end(client))
+            await until(lambda: len(endpoint.received) == 2)
+            connection.evict()
+            assert (await responses).count(b"200 OK") == 2
--- /dev/null
+++ b/tests/proxy/test_endpoint_faults.py
@@ -0,0 +1,142 @@
+"""Endpoints that fail: every request gets one complete response in its time.
+
+Whatever becomes of a response or its endpoint, what may not be repeated is sent once.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Iterator
+
+import pytest
+
+from tests.proxy.node_harness import (
+    policy_limits,
+)
+from tests.stubs import (
+    HOST,
+    Behaviour,
+    Received,
+    StubServer,
+    World,
+    async_test,
+    reply,
+    row,
+    silent,
+    until,
+    world,
+)
+
+DEADLINE_S = 0.6
+LOST_S = 0.5  # later than this after its deadline a response counts as none
+
+HEAD = b"HTTP/1.1 200 OK\r\n"
+TRUNCATED = {
+    "before the first byte": b"",
+    "within the first line": b"HTTP/1.1 2",
+    "within the head": HEAD + b"Content-Length: 10\r\nX-Lo",
+    "after the head": HEAD + b"Content-Length: 10\r\n\r\n",
+    "within the body": HEAD + b"Content-Length: 10\r\n\r\nwhole",
+    "within a chunk": HEAD + b"Transfer-Encoding: chunked\r\n\r\na\r\nwhole",
+    "before the last chunk": HEAD + b"Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n",
+    "within a body without length": HEAD + b"\r\nwhole",
+    "after an interim response": b"HTTP/1.1 102 Processing\r\n\r\n",
+}
+
+
+def truncated(text: bytes, how: str) -> Behaviour:
+    """Write that much of a response, then reset, close, or send nothing more."""
+
+    async def behave(endpoint: StubServer, _: Received, writer: asyncio.StreamWriter) -> None:
+        writer.write(text)
+        await asyncio.sleep(0)  # the bytes are sent before the connection ends
+        if how == "reset":
+            writer.transport.abort()
+        elif how == "close":
+            writer.close()
+        else:
+            await endpoint.release.wait()
+
+    return behave
+
+
+@contextlib.contextmanager
+def unreachable() -> Iterator[str]:
+    """An address at which connections never come up, as of a machine that is cut off."""
+    with contextlib.ExitStack() as stack:
+        listener = stack.enter_context(socket.socket())
+        listener.bind((HOST, 0))
+        listener.listen(0)
+        address = listener.getsockname()
+        for _ in range(2):  # the backlog is full from then on
+            filler = stack.enter_context(socket.socket())
+            filler.setblocking(False)
+            filler.connect_ex(address)
+        yield f"{HOST}:{address[1]}"
+
+
+@pytest.mark.parametrize("how", ["reset", "close", "silence"])
+@pytest.mark.parametrize("text", list(TRUNCATED.values()), ids=list(TRUNCATED))
+@pytest.mark.parametrize("kind", ["look", "move", "book"])
+@async_test
+async def test_truncated_response_is_not_served(kind: str, text: bytes, how: str) -> None:
+    """All endpoints truncate theirs: nothing is served, and the request ends in its time all the same."""
+    loop = asyncio.get_running_loop()
+    async with (
+        StubServer([truncated(text, how)]) as one,
+        StubServer([truncated(text, how)]) as two,
+        world(row("a", one.address), row("b", two.address)) as w,
+    ):
+        began = loop.time()
+        response = await (await w.caller()).ask(kind, deadline=str(DEADLINE_S))
+        assert loop.time() - began < DEADLINE_S + LOST_S
+        assert response.status in (
+            (502,) if kind == "book" else (502, 503)
+        ), "what may have run is not rejected as harmless"
+        assert response.body == b""
+        if kind == "book":
+            assert len(one.received) + len(two.received) == 1
+        one.release.set()
+        two.release.set()
+        await until(
+            lambda: not w.node.requests.attempts_in_flight and not w.node.requests.reserved_client_ids
+        )
+
+
+@pytest.mark.parametrize("duplicate", [True, False])
+@pytest.mark.parametrize("cancel", [True, False])
+@async_test
+async def test_requests_are_answered_in_time_while_an_endpoint_is_silent(
+    duplicate: bool, cancel: bool
+) -> None:
+    """One of five accepts requests and is silent, and the list still names another that never comes up."""
+
+    async def ask(w: World, kind: str) -> tuple[float, int]:
+        began = asyncio.get_running_loop().time()
+        client = await w.caller()
+        response = await client.ask(kind, deadline=str(DEADLINE_S))
+        return asyncio.get_running_loop().time() - began, response.status
+
+    async with contextlib.AsyncExitStack() as stack:
+        good = [await stack.enter_async_context(StubServer([reply("200 OK", b"x")])) for _ in range(4)]
+        mute = await stack.enter_async_context(StubServer([silent]))
+        lost = stack.enter_context(unreachable())
+        rows = [row(f"s{i}", endpoint.address) for i, endpoint in enumerate([*good, mute])]
+        rows.append(row("lost", lost))
+        w = await stack.enter_async_context(
+            world(*rows, **policy_limits(mayDuplicate=duplicate, cancel=cancel))
+        )
+        kinds = ("look", "move", "book") * 20
+        ends = await asyncio.gather(*(ask(w, kind) for kind in kinds))
+        assert max(took for took, _ in ends) < DEADLINE_S + LOST_S
+        served = [kind for kind, (_, status) in zip(kinds, ends, strict=True) if status == 200]
+        assert len(served) > len(kinds) / 2
+        bookings = [r for endpoint in [*good, mute] for r in endpoint.received if r.method == "POST"]
+        names = [r.headers["x-request-id"] for r in bookings if "idempotency-key" not in r.headers]
+        assert len(names) == len(set(names))
+        mute.release.set()
+        await until(
+            lambda: not w.node.requests.attempts_in_flight and not w.node.requests.reserved_client_ids
+        )
--- /dev/null
+++ b/tests/proxy/test_lifecycle.py
@@ -0,0 +1,305 @@
+"""Readiness, reload at SIGHUP, and graceful shutdown at SIGTERM."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from load_balancer.events import (
+    EndpointListKind,
+    EndpointListUpdate,
+)
+from load_balancer.proxy import lifecycle
+from tests.proxy.node_harness import (
+    PolicyRecorder,
+    blocking_client,
+    open_requests,
+    read_to_end,
+)
+from tests.stubs import (
+    HOST,
+    PATIENCE_S,
+    StubDiscovery,
+    StubServer,
+    async_test,
+    held,
+    listing,
+    reply,
+    request,
+    row,
+    silent,
+    tell,
+    until,
+    world,
+)
+
+
+def _classes(*deadlines_ms: float) -> list[dict[str, Any]]:
+    return [
+        {"name": f"c{i}", "effect": "safe", "aimMs": 100.0, "deadlineMs": deadline}
+        for i, deadline in enumerate(deadlines_ms)
+    ]
+
+
+@async_test
+async def test_sighup_opens_new_watch_before_old_one_closes(tmp_path: Path) -> None:
+    config = tmp_path / "config.json"
+    async with (
+        StubServer([reply("200 OK", b"a")]) as one,
+        StubServer([reply("200 OK", b"b")]) as two,
+        StubDiscovery() as moved,
+        world(row("a", one.address), path=str(config)) as w,
+    ):
+        old = await w.discovery.watch()
+        tell(old, listing(41, row("a", one.address)))
+        await until(lambda: w.endpoint_discovery.version == 41)
+        config.write_text(json.dumps({"discovery": moved.address}))
+        os.kill(os.getpid(), signal.SIGHUP)
+        new = await moved.watch()
+        assert moved.targets == ["/v1/endpoints?watch=1&from=41"]
+        tell(old, listing(42, row("b", two.address), reset=False))
+        await until(lambda: w.endpoint_discovery.version == 42)
+        assert w.endpoint_discovery.watch is not w.endpoint_discovery.successor is not None
+        tell(new, listing(43, row("a", one.address, "DRAINING"), reset=False))
+        await until(lambda: w.endpoint_discovery.version == 43)
+        await asyncio.wait_for(w.discovery.left.wait(), PATIENCE_S)
+        client = await w.caller()
+        assert {(await client.ask("look")).body for _ in range(5)} == {b"b"}
+        assert len(w.discovery.targets) == 1, "the old address was asked again"
+
+
+@async_test
+async def test_failing_new_address_keeps_old_watch_and_is_retried(tmp_path: Path) -> None:
+    config = tmp_path / "config.json"
+    async with (
+        StubServer([reply("200 OK", b"a")]) as endpoint,
+        StubDiscovery() as moved,
+        world(row("a", endpoint.address), path=str(config)) as w,
+    ):
+        recorder = PolicyRecorder(w.node)
+        old = await w.discovery.watch()
+        tell(old, listing(41, row("a", endpoint.address)))
+        config.write_text(json.dumps({"discovery": moved.address}))
+        await until(lambda: w.endpoint_discovery.version == 41)
+        w.node.reload()
+        (await moved.watch()).transport.abort()
+        new = await moved.watch()
+        old.close()  # as the old discovery does some time after
+        tell(new, listing(42, reset=False))
+        await until(lambda: w.endpoint_discovery.version == 42)
+        assert not [
+            e
+            for e in recorder.events
+            if isinstance(e, EndpointListUpdate) and e.kind is EndpointListKind.FAILED
+        ]
+
+
+@async_test
+async def test_reload_is_followed_at_once_after_failed_watch(tmp_path: Path) -> None:
+    config = tmp_path / "config.json"
+    async with (
+        StubServer([reply("200 OK", b"a")]) as endpoint,
+        StubDiscovery() as moved,
+        world(
+            row("a", endpoint.address),
+            path=str(config),
+            guarantees={"mustAskInMs": 60_000.0},
+        ) as w,
+    ):
+        w.endpoint_discovery.subscribe()
+        (await w.discovery.watch()).transport.abort()
+        await until(lambda: not w.endpoint_discovery.watch is not None)
+        config.write_text(json.dumps({"discovery": moved.address}))
+        w.node.reload()  # the policy's next poll is seconds away
+        tell(await moved.watch(), listing(41, row("a", endpoint.address)))
+        await until(lambda: w.endpoint_discovery.version == 41)
+        assert w.endpoint_discovery.watch is not None
+
+
+@pytest.mark.parametrize("text", ["", "{", "[]", '{"discovery": "nowhere"}', '{"discovery": 5}', "{}"])
+@async_test
+async def test_unreadable_configuration_at_reload_is_ignored(
+    tmp_path: Path, text: str, caplog: pytest.LogCaptureFixture
+) -> None:
+    config = tmp_path / "config.json"
+    config.write_text(text)
+    async with (
+        StubServer([reply("200 OK")]) as endpoint,
+        world(row("a", endpoint.address), path=str(config)) as w,
+    ):
+        watch = await w.discovery.watch()
+        w.node.reload()
+        assert "configuration_reload_failed" in caplog.text
+        tell(watch, listing(41, row("a", endpoint.address)))
+        assert (await (await w.caller()).ask("look")).status == 200
+
+
+@async_test
+async def test_shutdown_closes_after_last_pipelined_request() -> None:
+    behaviours = [held(reply("200 OK")), held(reply("200 OK"))]
+    async with StubServer(behaviours) as endpoint, world(row("a", endpoint.address)) as w:
+        client = await w.caller()
+        client.writer.write(request("look") + request("look"))
+        await until(lambda: len(w.node.requests) >= 2)
+        w.node.terminate()
+        endpoint.release.set()
+        responses = [await client.answer(), await client.answer()]
+        assert [response.status for response in responses] == [200, 200]
+
+
+@async_test
+async def test_shutdown_answers_open_and_new_requests() -> None:
+    async with (
+        StubServer([held(reply("200 OK", b"first")), reply("200 OK", b"second")]) as endpoint,
+        world(row("a", endpoint.address)) as w,
+    ):
+        idle, busy = await w.caller(), await w.caller()
+        assert (await idle.ask(target="/ready")).status == 200
+        busy.writer.write(request("look"))
+        await asyncio.wait_for(endpoint.got.wait(), PATIENCE_S)
+        w.node.terminate()
+        assert await idle.ended(), "an idle connection stayed open"
+        response = await (await w.caller()).ask(target="/ready")
+        assert (response.status, response.headers["connection"]) == (503, "close")
+        response = await (await w.caller()).ask("look")
+        assert (response.body, response.headers["connection"]) == (b"second", "close")
+        assert not w.serving.done(), "it ended with a request open"
+        endpoint.release.set()
+        response = await busy.answer()
+        assert (response.body, response.headers["connection"]) == (b"first", "close")
+        await asyncio.wait_for(w.serving, PATIENCE_S)
+
+
+@async_test
+async def test_request_open_when_shutdown_time_is_over_is_failed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async with StubServer([silent]) as endpoint, world(row("a", endpoint.address)) as w:
+        client = await w.caller()
+        client.writer.write(request("book", deadline="30"))
+        await asyncio.wait_for(endpoint.got.wait(), PATIENCE_S)
+        monkeypatch.setattr(w.node.shutdown, "answer_within_s", 0.0)
+        w.node.terminate()
+        assert (await client.answer()).status == 500
+        endpoint.release.set()
+
+
+@pytest.mark.parametrize(
+    ("deadlines_ms", "kill_s"),
+    [((250.0,), 0.95), ((400.0, 900.0), 1.6), ((2500.0,), 3.2), ((3000.0,), 3.7), ((9000.0, 50.0), 3.7)],
+)
+@async_test
+async def test_shutdown_ends_before_sigkill(deadlines_ms: tuple[float, ...], kill_s: float) -> None:
+    async with world(row("a", f"{HOST}:1"), profiles=_classes(*deadlines_ms)) as w:
+        last = w.node.shutdown.answer_within_s
+        assert last >= min(max(deadlines_ms) / 1000.0, 3.0), "what came before SIGTERM has its time"
+        end = last + lifecycle.KILL_MARGIN_S / 2 + lifecycle.DRAIN_CHECK_S + lifecycle.FLUSH_S
+        assert end + 0.1 <= kill_s
+
+
+@async_test
+async def test_new_connection_at_sigterm_gets_response() -> None:
+    async with StubServer([reply("200 OK", b"late")]) as endpoint, world(row("a", endpoint.address)) as w:
+        client = await w.caller()
+        await until(lambda: w.node.downstream.connections)
+        w.node.terminate()
+        response = await client.ask("look")
+        assert (response.body, response.headers["connection"]) == (b"late", "close")
+        assert await client.ended()
+
+
+@async_test
+async def test_unread_request_at_sigterm_gets_response() -> None:
+    async with StubServer([reply("200 OK", b"x")]) as endpoint, world(row("a", endpoint.address)) as w:
+        with blocking_client(w.address) as client:
+            await until(lambda: any(c.answered for c in w.node.downstream.connections))
+            client.sendall(request("look"))  # and before the loop's next iteration
+            w.node.terminate()
+            responses = await read_to_end(client)
+            assert responses.count(b"200 OK") == 2
+
+
+@async_test
+async def test_unaccepted_connection_at_shutdown_end_gets_response(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(lifecycle, "MIN_DRAIN_S", PATIENCE_S)  # the check is made below
+    monkeypatch.setattr(lifecycle, "QUIET_PERIOD_S", 0.0)
+    async with StubServer([reply("200 OK", b"x")]) as endpoint, world(row("a", endpoint.address)) as w:
+        w.node.terminate()
+        with blocking_client(w.address) as client:
+            w.node.shutdown.check_drained()  # in the iteration in which it came
+            assert b"200 OK" in await read_to_end(client)
+        await asyncio.wait_for(w.serving, PATIENCE_S)
+
+
+@async_test
+async def test_shutdown_deadline_answers_open_requests_and_accepts_none(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async with StubServer([silent]) as endpoint, world(row("a", endpoint.address)) as w:
+        client = await w.caller()
+        client.writer.write(open_requests(1))
+        await asyncio.wait_for(endpoint.got.wait(), PATIENCE_S)
+        w.node.terminate()
+        monkeypatch.setattr(w.node.shutdown, "answer_within_s", -1.0)  # the time has run out
+        with blocking_client(w.address):
+            w.node.shutdown.check_drained()
+            assert (await client.answer()).status == 500
+            await asyncio.wait_for(w.serving, PATIENCE_S)
+        assert len(endpoint.received) == 1
+        endpoint.release.set()
+
+
+@async_test
+async def test_not_ready_on_list_that_may_be_stale() -> None:
+    """What the agent has counts as notified from the start; the cached list may still name what drains."""
+    async with (
+        StubServer([reply("200 OK", b"a")]) as one,
+        StubServer([reply("200 OK", b"b")]) as two,
+        world(row("a", one.address), row("b", two.address), registryMode="pushed") as w,
+    ):
+        watch = await w.discovery.watch()
+        client = await w.caller()
+        assert (await client.ask(target="/ready")).status == 503
+        tell(watch, listing(2, row("a", one.address, "DRAINING"), reset=False))
+        await until(lambda: w.endpoint_discovery.heard)
+        assert (await client.ask(target="/ready")).status == 200
+        assert {(await client.ask("look")).body for _ in range(5)} == {b"b"}
+
+
+@async_test
+async def test_ready_though_agent_stays_silent(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(lifecycle, "FIRST_LIST_WAIT_S", 0.0)
+    async with (
+        StubServer([reply("200 OK")]) as endpoint,
+        world(row("a", endpoint.address), registryMode="pushed") as w,
+    ):
+        assert (await (await w.caller()).ask(target="/ready")).status == 200
+
+
+@async_test
+async def test_sighup_after_sigterm_is_followed(tmp_path: Path) -> None:
+    config = tmp_path / "config.json"
+    async with (
+        StubServer([held(reply("200 OK", b"x"))]) as endpoint,
+        StubDiscovery() as moved,
+        world(row("a", endpoint.address), path=str(config), registryMode="pushed") as w,
+    ):
+        (await w.discovery.watch()).transport.abort()  # and its watch is broken as well
+        client = await w.caller()
+        client.writer.write(open_requests(1))
+        await asyncio.wait_for(endpoint.got.wait(), PATIENCE_S)
+        w.node.terminate()
+        config.write_text(json.dumps({"discovery": moved.address}))
+        w.node.reload()
+        await moved.watch()
+        endpoint.release.set()
+        assert (await client.answer()).body == b"x"
+        await asyncio.wait_for(w.serving, PATIENCE_S)
--- /dev/null
+++ b/tests/proxy/test_loop_iterations.py
@@ -0,0 +1,83 @@
+"""The time of a request counts from its arrival, also where a busy loop reads it late."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+
+import pytest
+
+from load_balancer.proxy.server import BUDGET_RESERVE_MS
+from tests.proxy.node_harness import (
+    PolicyRecorder,
+    blocking_client,
+)
+from tests.stubs import (
+    PATIENCE_S,
+    StubServer,
+    async_test,
+    reply,
+    request,
+    row,
+    until,
+    world,
+)
+
+
+class _StandingClock:
+    """The time that the node reads: it moves only when told to, so that no test depends on the machine."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.now = time.monotonic()
+        monkeypatch.setattr(time, "monotonic", lambda: self.now)
+
+
+async def _idle_iterations(clock: _StandingClock) -> None:
+    """Iterations in which nothing is done, each poll of the sockets waiting for a while."""
+    for _ in range(5):
+        await asyncio.sleep(0)
+        clock.now += 1.0
+
+
+@pytest.mark.parametrize("new", [True, False], ids=["new connection", "open connection"])
+@async_test
+async def test_budget_counts_from_arrival_when_loop_is_busy(
+    new: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Something occupies the loop for 0.8 s, in which requests with deadlines of 1 s and 0.5 s arrive."""
+    async with StubServer([reply("200 OK", b"x")]) as endpoint, world(row("a", endpoint.address)) as w:
+        clients = [] if new else [blocking_client(w.address) for _ in range(2)]
+        await until(lambda: len([c for c in w.node.downstream.connections if c.answered]) == len(clients))
+        recorder = PolicyRecorder(w.node)
+        clock = _StandingClock(monkeypatch)
+        await _idle_iterations(clock)
+        w.node.downstream.iterations.mark_activity()  # from here on the loop is busy
+        for i, deadline in enumerate(("1.0", "0.5")):
+            if new:
+                clients.append(socket.create_connection(w.address, timeout=PATIENCE_S))
+            clients[i].sendall(request("look", deadline=deadline))
+        clock.now += 0.8
+        await until(lambda: len(recorder.budgets) == 2)
+        assert sorted(recorder.budgets) == [
+            1.0,
+            pytest.approx(200.0 - BUDGET_RESERVE_MS, abs=1e-3),
+        ]
+        monkeypatch.undo()
+        for client in clients:
+            client.close()
+
+
+@async_test
+async def test_budget_is_not_cut_when_loop_is_idle(monkeypatch: pytest.MonkeyPatch) -> None:
+    async with StubServer([reply("200 OK", b"x")]) as endpoint, world(row("a", endpoint.address)) as w:
+        with blocking_client(w.address) as client:
+            await until(lambda: any(c.answered for c in w.node.downstream.connections))
+            recorder = PolicyRecorder(w.node)
+            clock = _StandingClock(monkeypatch)
+            w.node.downstream.iterations.mark_activity()
+            await _idle_iterations(clock)
+            client.sendall(request("look", deadline="1.0"))
+            await until(lambda: recorder.budgets)
+            assert recorder.budgets == [pytest.approx(1000.0 - BUDGET_RESERVE_MS, abs=1e-3)]
+            monkeypatch.undo()
--- /dev/null
+++ b/tests/proxy/test_request_parsing.py
@@ -0,0 +1,86 @@
+"""Invalid requests are answered by the node itself."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.stubs import (
+    StubServer,
+    async_test,
+    reply,
+    request,
+    row,
+    world,
+)
+
+
+@pytest.mark.parametrize(
+    ("bad", "status"),
+    [
+        (b"nonsense\r\n\r\n", 400),
+        (request("look", target="/other"), 404),
+        (request("nosuch"), 400),
+        (request("look", drop=("X-Tenant",)), 400),
+        (request("look", drop=("X-Request-Id",)), 400),
+        (request("look", drop=("X-Deadline",)), 400),
+        (request("look", drop=("X-Class",)), 400),
+        (request("look", drop=("X-Tenant",), extra="X-Tenant: nobody\r\n"), 400),
+        (request("look", extra="X-Class: book\r\n"), 400),
+        (request("look", deadline="soon"), 400),
+        (request("look", deadline="-1"), 400),
+        (request("look", deadline="nan"), 400),
+        (request("look", deadline="inf"), 400),
+        (request("look", deadline="1e1"), 400),
+        (request("look", deadline="1_0"), 400),
+        (request("look", deadline="+1"), 400),
+        (request("look", name="a b"), 400),
+        (request("book", extra="Transfer-Encoding: chunked\r\n") + b"0\r\n\r\n", 400),
+        (request("look", extra="Transfer-Encoding: gzip, chunked\r\n") + b"0\r\n\r\n", 400),
+        (request("look", method="POST"), 400),
+        (request("book", method="GET"), 400),
+        (request("look", body=b"x"), 400),
+        (request("move", drop=("Idempotency-Key",)), 400),
+        (request("book", extra="Idempotency-Key: k\r\n"), 400),
+        (request("look", extra="Connection: Upgrade\r\nUpgrade: websocket\r\n"), 400),
+        (request("book", body=b"x" * 65537), 413),
+        (request("look", extra="X-Long: " + "x" * 20000 + "\r\n"), 400),
+    ],
+)
+@async_test
+async def test_invalid_request_is_answered_at_once_and_not_forwarded(bad: bytes, status: int) -> None:
+    async with StubServer([reply("200 OK")]) as endpoint, world(row("a", endpoint.address)) as w:
+        client = await w.caller()
+        client.writer.write(bad)
+        assert (await client.answer()).status == status
+        assert await client.ended(), "the same could be sent again at full speed"
+        assert not endpoint.received
+        assert (await (await w.caller()).ask("look")).status == 200
+
+
+@async_test
+async def test_trailer_does_not_override_head() -> None:
+    async with StubServer([reply("200 OK")]) as endpoint, world(row("a", endpoint.address)) as w:
+        client = await w.caller()
+        head = request("book", name="mine", drop=("Content-Length",), extra="Transfer-Encoding: chunked\r\n")
+        client.writer.write(head + b"1\r\nx\r\n0\r\nX-Request-Id: another\r\nX-Class: move\r\n\r\n")
+        assert (await client.answer()).status == 200
+        (received,) = endpoint.received
+        assert (received.headers["x-request-id"], received.body) == ("mine", b"x")
+
+
+@async_test
+async def test_chunked_body_over_limit_is_rejected_before_its_end() -> None:
+    async with StubServer([reply("200 OK")]) as endpoint, world(row("a", endpoint.address)) as w:
+        client = await w.caller()
+        head = request("book", drop=("Content-Length",), extra="Transfer-Encoding: chunked\r\n")
+        client.writer.write(head + b"11000\r\n" + b"x" * 0x11000)
+        assert (await client.answer()).status == 413
+        assert not endpoint.received
+
+
+@pytest.mark.parametrize("hint", ["much", "0", "inf", "250000"])
+@async_test
+async def test_unusable_cost_hint_is_ignored(hint: str) -> None:
+    async with StubServer([reply("200 OK")]) as endpoint, world(row("a", endpoint.address)) as w:
+        response = await (await w.caller()).ask("look", extra=f"X-Cost-Hint: {hint}\r\n")
+        assert response.status == 200
--- /dev/null
+++ b/tests/proxy/test_server.py
@@ -0,0 +1,231 @@
+"""A node between clients and endpoints: what is forwarded, what is answered, and the policy's part."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from load_balancer.actions import Action, CloseIdleConnections
+from load_balancer.events import (
+    Event,
+    Outcome,
+    RequestAbandoned,
+)
+from load_balancer.proxy.clock import Clock
+from load_balancer.proxy.server import Node
+from tests.proxy.node_harness import (
+    PolicyRecorder,
+    ignore_events,
+    replace_policy,
+)
+from tests.stubs import (
+    HOST,
+    PATIENCE_S,
+    StubServer,
+    async_test,
+    held,
+    raw,
+    reply,
+    request,
+    reset,
+    row,
+    settings,
+    silent,
+    until,
+    world,
+)
+
+BODY = bytes(range(256)) * 4
+
+
+def _keep_idle_connections(node: Node) -> None:
+    """Have the policy close no idle connection before it sends a request."""
+
+    def handle_without_closing(event: Event, now: float) -> list[Action]:
+        return [action for action in handle(event, now) if not isinstance(action, CloseIdleConnections)]
+
+    handle = replace_policy(node, handle_without_closing)
+
+
+@pytest.mark.usefixtures("no_reuse_delay")
+@async_test
+async def test_served_request_passes_through_unchanged() -> None:
+    async with StubServer([reply("200 OK", BODY)]) as endpoint, world(row("a", endpoint.address)) as w:
+        client = await w.caller()
+        response = await client.ask(
+            "move", target="/api/k1?x=%20y", body=BODY, deadline="2.5", name="9b1f03aa5c7e2d41"
+        )
+        assert (response.status, response.body) == (200, BODY)
+        (got,) = endpoint.received
+        assert (got.method, got.target, got.body) == ("POST", "/api/k1?x=%20y", BODY)
+        assert got.headers["x-request-id"] == "9b1f03aa5c7e2d41"
+        assert got.headers["idempotency-key"] == "5c0f6e1a2b3d4c59"
+        assert 0.0 < float(got.headers["x-deadline"]) < 2.5
+        assert (await client.ask("look")).status == 200
+        assert endpoint.opened == 1, "the idle connection was not used again"
+
+
+@async_test
+async def test_request_rejected_by_every_endpoint_gets_503_with_retry_after() -> None:
+    full = reply("503 Service Unavailable", extra="X-Not-Run: 1\r\n")
+    async with StubServer([full]) as endpoint, world(row("a", endpoint.address)) as w:
+        response = await (await w.caller()).ask("book")
+        assert response.status == 503
+        assert 0.0 < float(response.headers["retry-after"]) <= 2.0
+
+
+@async_test
+async def test_rejected_non_idempotent_request_is_retried() -> None:
+    full = reply("503 Service Unavailable", extra="X-Not-Run: 1\r\n")
+    async with (
+        StubServer([full, reply("200 OK", b"b")]) as endpoint,
+        world(row("a", endpoint.address)) as w,
+    ):
+        assert (await (await w.caller()).ask("book")).status == 200
+        assert len(endpoint.received) == 2
+
+
+@pytest.mark.parametrize("behaviour", [reply("500 Internal Server Error"), reset, raw(b"nonsense\r\n\r\n")])
+@async_test
+async def test_non_idempotent_request_that_may_have_run_fails_without_retry(behaviour: object) -> None:
+    async with (
+        StubServer([behaviour]) as one,  # type: ignore[list-item]
+        StubServer([behaviour]) as two,  # type: ignore[list-item]
+        world(row("a", one.address), row("b", two.address)) as w,
+    ):
+        response = await (await w.caller()).ask("book", body=b"slot")
+        assert response.status == 502
+        assert "retry-after" not in response.headers
+        assert len(one.received) + len(two.received) == 1
+
+
+@pytest.mark.usefixtures("no_reuse_delay")
+@async_test
+async def test_idle_connection_that_breaks_after_write_causes_no_resend() -> None:
+    """Guards against the silent resend on a fresh connection that HTTP clients do."""
+    async with StubServer([reply("200 OK"), reset]) as endpoint, world(row("a", endpoint.address)) as w:
+        _keep_idle_connections(w.node)  # however slow the machine is between the two requests
+        client = await w.caller()
+        assert (await client.ask("book")).status == 200
+        assert (await client.ask("book")).status == 502
+        assert (len(endpoint.received), endpoint.opened) == (2, 1)
+
+
+@pytest.mark.usefixtures("no_reuse_delay")
+@async_test
+async def test_non_idempotent_request_avoids_idle_connection_of_vanished_endpoint(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A vanished machine leaves its connections open and silent; only a new one reveals that it is gone."""
+    async with (
+        StubServer([reply("200 OK")]) as one,
+        StubServer([reply("200 OK")]) as two,
+        world(row("a", one.address), row("b", two.address)) as w,
+    ):
+        client = await w.caller()
+        while not (one.received and two.received):
+            assert (await client.ask("look")).status == 200
+        one.vanish()
+        now = Clock.now
+        monkeypatch.setattr(
+            Clock, "now", lambda clock: now(clock) + 1000.0
+        )  # it has not been heard of for so long
+        recorder = PolicyRecorder(w.node)
+        for _ in range(12):
+            assert (await client.ask("book", deadline="1.0")).status == 200
+        assert any(outcome is Outcome.CONNECT_FAILED for outcome in recorder.outcomes)
+        assert {got.method for got in one.received} == {"GET"}
+
+
+@async_test
+async def test_client_that_leaves_ends_its_attempt() -> None:
+    async with StubServer([silent]) as endpoint, world(row("a", endpoint.address)) as w:
+        recorder = PolicyRecorder(w.node)
+        client = await w.caller()
+        client.writer.write(request("look"))
+        await asyncio.wait_for(endpoint.got.wait(), PATIENCE_S)
+        client.close()
+        await until(lambda: any(isinstance(event, RequestAbandoned) for event in recorder.events))
+        endpoint.release.set()
+        await asyncio.wait_for(endpoint.left.wait(), PATIENCE_S)
+        assert not w.node.requests and not w.node.requests.attempts_in_flight
+
+
+@pytest.mark.parametrize(("kind", "status"), [("book", 502), ("look", 503)])
+@async_test
+async def test_response_comes_before_deadline_though_endpoint_is_silent(kind: str, status: int) -> None:
+    async with StubServer([silent]) as endpoint, world(row("a", endpoint.address)) as w:
+        client = await w.caller()
+        begin = asyncio.get_running_loop().time()
+        response = await client.ask(kind, deadline="0.6")
+        assert asyncio.get_running_loop().time() - begin < 0.6 + 0.05, "later than the deadline allows"
+        assert response.status == status
+        assert len(endpoint.received) == 1
+        endpoint.release.set()
+
+
+@async_test
+async def test_late_bytes_of_abandoned_attempt_reach_no_other_request() -> None:
+    behaviours = [held(reply("200 OK", b"old")), reply("200 OK", b"new")]
+    async with StubServer(behaviours) as endpoint, world(row("a", endpoint.address)) as w:
+        client = await w.caller()
+        assert (await client.ask("book", deadline="0.3")).status == 502
+        endpoint.release.set()
+        assert (await client.ask("book")).body == b"new"
+        assert endpoint.opened == 2
+
+
+@async_test
+async def test_node_responds_before_deadline_when_policy_does_not(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    async with StubServer([silent]) as endpoint, world(row("a", endpoint.address)) as w:
+        replace_policy(w.node, ignore_events)
+        response = await (await w.caller()).ask("look", deadline="0.3")
+        assert response.status == 500
+        assert "response_overdue" in caplog.text
+
+
+@async_test
+async def test_policy_fault_fails_one_request_alone() -> None:
+    async with StubServer([reply("200 OK", b"fine")]) as endpoint, world(row("a", endpoint.address)) as w:
+
+        def fail_once(_: Event, __: float) -> list[Action]:
+            replace_policy(w.node, handle)
+            raise RuntimeError("planted")
+
+        handle = replace_policy(w.node, fail_once)
+        client = await w.caller()
+        assert (await client.ask("look")).status == 500
+        assert (await client.ask("look")).body == b"fine"
+
+
+@async_test
+async def test_event_from_within_a_decision_waits_until_policy_has_returned() -> None:
+    """The end of an attempt that comes while it is started must not reach the policy inside a decision."""
+    async with StubServer([reply("200 OK")]) as endpoint, world(row("a", endpoint.address)) as w:
+        inside, seen = False, 0
+
+        def watched(event: Event, now: float) -> list[Action]:
+            nonlocal inside, seen
+            assert not inside, "an event came while the policy was deciding"
+            inside, seen = True, seen + 1
+            if seen == 1:
+                w.node.handle_event(RequestAbandoned(99))
+            actions = handle(event, now)
+            inside = False
+            return actions
+
+        handle = replace_policy(w.node, watched)
+        assert (await (await w.caller()).ask("look")).status == 200
+        assert seen >= 3, "the event that came in between was dropped"
+
+
+@async_test
+async def test_settings_of_stubs_are_read_completely() -> None:
+    """Guards the tests here: a renamed key would silently become a default."""
+    names = {c["name"] for c in settings()["profiles"]}
+    async with world(row("a", f"{HOST}:1")) as w:
+        assert {c.name for c in w.node.config.settings.classes} == names
+        assert w.node.config.settings.poll_endpoint_list
