--- a/load_balancer/proxy/downstream.py
+++ b/load_balancer/proxy/downstream.py
@@ -246,7 +246,7 @@
         Raises HttpMessageError if the node serves no such request.
         """
         self.last_activity = self.now()
-        path = message.start.partition(b"?")[0]
+        path = message.target.partition(b"?")[0]
         if path == b"/ready":
             if message.method != b"GET":
                 raise HttpMessageError(400, "method")
--- a/load_balancer/proxy/downstream_connection.py
+++ b/load_balancer/proxy/downstream_connection.py
@@ -124,11 +124,11 @@
     @property
     def is_receiving_request(self) -> bool:
         """Whether a request has begun and is not complete."""
-        return self._reader.within
+        return self._reader.in_message
 
     def is_idle(self) -> bool:
         """Whether it is between requests: it may be closed, as clients resend a request that crosses that."""
-        return not self._slots and not self._reader.within and not self._finished
+        return not self._slots and not self._reader.in_message and not self._finished
 
     def must_close_after(self, slot: ResponseSlot) -> bool:
         """Whether it closes after this response, as the node drains.
@@ -142,7 +142,9 @@
 
     def is_busy(self) -> bool:
         """Whether a response, or a part of one, is still to be sent, or a request is arriving."""
-        return self.has_unsent_output() or bool(self._slots) or (self._reader.within and not self._finished)
+        return (
+            self.has_unsent_output() or bool(self._slots) or (self._reader.in_message and not self._finished)
+        )
 
     def has_unsent_output(self) -> bool:
         """Whether something that was written has not been passed to the network yet."""
@@ -198,7 +200,7 @@
                 self.abort()
         elif self._slots:
             return
-        elif self._reader.within:
+        elif self._reader.in_message:
             timeout_s = REQUEST_TIMEOUT_S if self._brought_request else FIRST_REQUEST_TIMEOUT_S
             late_s = waited_s - timeout_s
             # Where the loop is late the rest of the request may lie unread: it gets one more interval.
--- a/load_balancer/proxy/health_checks.py
+++ b/load_balancer/proxy/health_checks.py
@@ -30,4 +30,4 @@
         def on_end(outcome: Outcome, _: HttpMessage | None) -> None:
             self._report(HealthCheckEnded(endpoint_id, outcome, self._clock.now() - started_ms))
 
-        self._pools.call(endpoint_id, lambda _: self._request, HEALTH_CHECK_TIMEOUT_S, on_end)
+        self._pools.start_request(endpoint_id, lambda _: self._request, HEALTH_CHECK_TIMEOUT_S, on_end)
--- a/load_balancer/proxy/lifecycle.py
+++ b/load_balancer/proxy/lifecycle.py
@@ -65,9 +65,9 @@
 
     def is_ready(self) -> bool:
         """Whether endpoints are known, and from the agent where that pushes them."""
-        notified = self._discovery.heard or not self._lists_are_pushed
+        notified = self._discovery.has_received_input or not self._lists_are_pushed
         waited = time.monotonic() - self._started_at >= FIRST_LIST_WAIT_S
-        return self._pools.any_listed() and (notified or waited)
+        return self._pools.has_endpoints and (notified or waited)
 
 
 class GracefulShutdown:
--- a/load_balancer/proxy/request_parsing.py
+++ b/load_balancer/proxy/request_parsing.py
@@ -6,7 +6,8 @@
 from dataclasses import dataclass
 from hashlib import blake2b
 
-from load_balancer.proxy.http1 import (
+from load_balancer.proxy.http1 import TOKEN, HttpMessage, HttpMessageError
+from load_balancer.proxy.http_headers import (
     CLASS,
     COST_HINT,
     DEADLINE,
@@ -14,9 +15,6 @@
     REQUEST_ID,
     RETRY,
     TENANT,
-    TOKEN,
-    HttpMessage,
-    HttpMessageError,
 )
 from load_balancer.settings import Idempotency, Settings
 
@@ -62,7 +60,7 @@
         """The request for a path below /api; HttpMessageError where a header is missing or invalid."""
         headers = message.headers
         for name in self._required:
-            if not headers.get(name) or name in message.repeated:
+            if not headers.get(name) or name in message.duplicate_headers:
                 raise HttpMessageError(400, f"{name.decode()} is missing or repeated")
         if not TOKEN.fullmatch(headers[REQUEST_ID]):
             raise HttpMessageError(400, "bad id")
@@ -90,7 +88,7 @@
         message.method != (b"GET" if is_idempotent else b"POST")
         or has_key != (idempotency is Idempotency.KEYED)
         or (is_idempotent and message.body)
-        or IDEMPOTENCY_KEY in message.repeated
+        or IDEMPOTENCY_KEY in message.duplicate_headers
         or (has_key and not TOKEN.fullmatch(message.headers[IDEMPOTENCY_KEY]))
     ):
         raise HttpMessageError(400, "method or key does not fit the class")
--- a/load_balancer/proxy/request_table.py
+++ b/load_balancer/proxy/request_table.py
@@ -7,9 +7,10 @@
 from dataclasses import dataclass
 
 from load_balancer.events import EndpointId, RequestId
-from load_balancer.proxy.http1 import REQUEST_ID, HttpMessage
+from load_balancer.proxy.http1 import HttpMessage
+from load_balancer.proxy.http_headers import REQUEST_ID
 from load_balancer.proxy.response_slot import ResponseSlot
-from load_balancer.proxy.upstream import UpstreamRequest
+from load_balancer.proxy.upstream_connection import UpstreamRequest
 
 
 @dataclass(slots=True)
--- a/load_balancer/proxy/server.py
+++ b/load_balancer/proxy/server.py
@@ -41,16 +41,13 @@
 from load_balancer.proxy.clock import Clock as Clock
 from load_balancer.proxy.configuration import NodeConfiguration
 from load_balancer.proxy.descriptors import divide_descriptors
-from load_balancer.proxy.discovery import EndpointDiscovery, EndpointListing
+from load_balancer.proxy.discovery import EndpointDiscovery
 from load_balancer.proxy.downstream import DownstreamServer
+from load_balancer.proxy.endpoint_listing import EndpointListing
 from load_balancer.proxy.health_checks import HealthChecker
-from load_balancer.proxy.http1 import (
-    CONTENT_TYPE,
-    REQUEST_ID,
-    HttpMessage,
-    HttpMessageError,
-    render_request_head,
-)
+from load_balancer.proxy.http1 import HttpMessage, HttpMessageError
+from load_balancer.proxy.http1_render import render_request_head
+from load_balancer.proxy.http_headers import CONTENT_TYPE, REQUEST_ID
 from load_balancer.proxy.lifecycle import GracefulShutdown, Readiness, handle_signals, reload_discovery
 from load_balancer.proxy.loop_iterations import LoopIterations
 from load_balancer.proxy.request_parsing import ParsedRequest, RequestParser
@@ -95,9 +92,9 @@
         self._stopped = asyncio.Event()
         shares = divide_descriptors(config.limits.sockets)
         self._pools = UpstreamPools(
-            connect_s=settings.connect_timeout_ms / 1000.0,
-            idle_s=config.conn_idle_ms / 1000.0,
-            most_open=shares.upstream,
+            connect_timeout_s=settings.connect_timeout_ms / 1000.0,
+            endpoint_idle_s=config.connection_idle_ms / 1000.0,
+            max_open=shares.upstream,
         )
         self._health_checker = HealthChecker(self._pools, self._clock, self._host, self.handle_event)
         self._discovery = self._create_discovery()
@@ -113,12 +110,12 @@
         settings = self._config.settings
         return EndpointDiscovery(
             self._config.discovery,
-            self._config.naming,
+            self._config.listing_reader,
             pushed=not settings.poll_endpoint_list,
-            call_s=POLL_TIMEOUT_FRACTION * settings.poll_within_ms / 1000.0,
-            grace_s=settings.drain_grace_ms / 1000.0,
-            on_list=self._update_endpoints,
-            on_failed=lambda: self.handle_event(EndpointListUpdate(EndpointListKind.FAILED)),
+            poll_timeout_s=POLL_TIMEOUT_FRACTION * settings.poll_within_ms / 1000.0,
+            drain_grace_s=settings.drain_grace_ms / 1000.0,
+            on_listing=self._update_endpoints,
+            on_failure=lambda: self.handle_event(EndpointListUpdate(EndpointListKind.FAILED)),
         )
 
     def _create_downstream(self, max_connections: int) -> DownstreamServer:
@@ -171,7 +168,7 @@
     async def start(self) -> tuple[str, int]:
         """Listen; returns the address that was bound.  OSError if that address cannot be used."""
         handle_signals(self.terminate, self.reload)
-        cached = self._config.known
+        cached = self._config.cached_listing
         if cached is not None:
             self._update_endpoints(cached, cached=True)
         self._discovery.start(cached.version if cached is not None else 0)
@@ -254,7 +251,7 @@
             case CancelAttempt(request_id, number):
                 attempt = self._requests.get_attempt(request_id, number)
                 if attempt is not None:
-                    attempt.give_up(Outcome.CANCELLED)
+                    attempt.cancel(Outcome.CANCELLED)
             case CheckHealth(endpoint_id):
                 self._health_checker.check(endpoint_id)
             case CloseIdleConnections(endpoint_id):
@@ -332,7 +329,7 @@
         """
         for attempt in self._requests.attempts_of(request_id, request):
             if not attempt.written:
-                attempt.give_up(Outcome.NOT_SENT)
+                attempt.cancel(Outcome.NOT_SENT)
 
     def _on_deadline(self, request_id: RequestId) -> None:
         """The policy owed a decision by now: the client gets a response all the same, within its time."""
@@ -387,7 +384,7 @@
             return not slot.client_has_left()
 
         self._requests.reserve(client_id)
-        upstream_request = self._pools.call(
+        upstream_request = self._pools.start_request(
             attempt.endpoint_id, render, timeout_ms / 1000.0, on_end, is_wanted
         )
         self._requests.add_attempt(attempt, upstream_request)
--- a/tests/proxy/test_attempts.py
+++ b/tests/proxy/test_attempts.py
@@ -133,7 +133,7 @@
         await until(lambda: one.received or two.received)
         client.close()
         (attempt,) = w.node.requests.attempts_in_flight
-        attempt.give_up(outcome)
+        attempt.cancel(outcome)
         assert nothing_left(w.node.requests)
         assert recorder.events and recorder.nothing_open
         await until(lambda: not w.node.downstream.connections)
--- a/tests/proxy/test_lifecycle.py
+++ b/tests/proxy/test_lifecycle.py
@@ -269,7 +269,7 @@
         client = await w.caller()
         assert (await client.ask(target="/ready")).status == 503
         tell(watch, listing(2, row("a", one.address, "DRAINING"), reset=False))
-        await until(lambda: w.endpoint_discovery.heard)
+        await until(lambda: w.endpoint_discovery.has_received_input)
         assert (await client.ask(target="/ready")).status == 200
         assert {(await client.ask("look")).body for _ in range(5)} == {b"b"}
 
