--- a/tests/policy/conftest.py
+++ b/tests/policy/conftest.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from tests.policy.environment import IDEMPOTENT, NON_IDEMPOTENT, SimulatedHost, make_host
+from tests.policy.environment import SimulatedHost, make_host
+from tests.policy.samples import IDEMPOTENT, NON_IDEMPOTENT
 
 
 @pytest.fixture
--- a/tests/policy/environment.py
+++ b/tests/policy/environment.py
@@ -45,12 +45,10 @@
     TimerFired,
 )
 from load_balancer.settings import DeduplicationScope, Idempotency, RequestClass, Settings
+from tests.policy.samples import IDEMPOTENT
 
 NOT_EXECUTED = (Outcome.REJECTED, Outcome.CONNECT_FAILED, Outcome.NOT_SENT)
 
-IDEMPOTENT = RequestClass("r", 1000, 3000)
-NON_IDEMPOTENT = RequestClass("w", 1000, 3000, priority_weight=3.0, idempotency=Idempotency.NON_IDEMPOTENT)
-
 
 @dataclass
 class TrackedAttempt:
--- a/tests/policy/test_admission.py
+++ b/tests/policy/test_admission.py
@@ -16,7 +16,8 @@
     RequestArrived,
 )
 from load_balancer.settings import RequestClass, Settings, Tenant
-from tests.policy.environment import IDEMPOTENT, NON_IDEMPOTENT, SimulatedHost, make_host
+from tests.policy.environment import SimulatedHost, make_host
+from tests.policy.samples import IDEMPOTENT, NON_IDEMPOTENT
 
 SLOW_CLASS = RequestClass("r", 1500, 4000)
 SLOWEST_CLASS = RequestClass("r", 4500, 9000)
@@ -42,11 +43,15 @@
     return sum(bool(host.requests[request].attempts) for request in requests) / count
 
 
-def end_older_than(host: SimulatedHost, age_ms: float, outcome: Outcome) -> None:
-    """End the attempts that have been in flight for this long."""
-    for request, number in host.all_in_flight():
-        if host.now - host.requests[request].attempts[number].sent_at >= age_ms - 1e-6:
-            host.end_attempt(request, number, outcome)
+def end_older_than(host: SimulatedHost, age_ms: float, outcome: Outcome, most: int | None = None) -> None:
+    """End the attempts that have been in flight for this long, or the first few of them."""
+    attempts = [
+        (request, number)
+        for request, number in host.all_in_flight()
+        if host.now - host.requests[request].attempts[number].sent_at >= age_ms - 1e-6
+    ]
+    for request, number in attempts[:most]:
+        host.end_attempt(request, number, outcome)
 
 
 def shedding_events(host: SimulatedHost) -> list[str]:
@@ -219,6 +224,22 @@
     assert host.count_in_flight(host.requests) <= enough + enough**0.5
 
 
+def test_the_limit_stays_near_what_the_best_rate_needs_where_much_is_in_work() -> None:
+    host = SimulatedHost(Settings(classes=(SLOWEST_CLASS,), tier_count=3), seed=3)
+    host.update_endpoints(map(Endpoint, endpoint_names(2)))
+    for _ in range(3000):  # a request each 10 ms, answered after 1 s
+        host.advance(10.0)
+        end_older_than(host, 1000.0, Outcome.OK)
+        host.arrive()
+    for _ in range(200):  # four times as many arrive, answered at the same rate
+        host.advance(10.0)
+        end_older_than(host, 1000.0, Outcome.OK, most=1)
+        for _ in range(4):
+            host.arrive()
+    enough = 1.65 * 100
+    assert 1.5 * 100 <= host.count_in_flight(host.unfinished) <= enough + enough**0.5
+
+
 def test_the_best_rate_of_few_responses_is_not_taken_at_its_word() -> None:
     """The luckiest of many short counts, twice the true rate, once held the limit up."""
     host = make_host(node_count=100, max_attempts=1)
--- a/tests/policy/test_balancer.py
+++ b/tests/policy/test_balancer.py
@@ -8,7 +8,6 @@
 from load_balancer.actions import FailRequest, RejectRequest, SendAttempt
 from load_balancer.events import (
     AttemptEnded,
-    Endpoint,
     EndpointListKind,
     Outcome,
     RequestAbandoned,
@@ -17,20 +16,8 @@
     UnexpectedEventError,
 )
 from load_balancer.settings import DeduplicationScope, Idempotency, RequestClass, Settings, SettingsError
-from tests.policy.environment import IDEMPOTENT, NON_IDEMPOTENT, SimulatedHost, make_host
-
-
-def keyed(scope: DeduplicationScope, window_ms: float) -> RequestClass:
-    """A class with an idempotency key."""
-    return RequestClass(
-        scope.value,
-        1000,
-        3000,
-        idempotency=Idempotency.KEYED,
-        deduplication_scope=scope,
-        deduplication_window_ms=window_ms,
-    )
-
+from tests.policy.environment import SimulatedHost, make_host
+from tests.policy.samples import IDEMPOTENT, NON_IDEMPOTENT, endpoints_in_cells, keyed
 
 CLASSES = (
     IDEMPOTENT,
@@ -41,11 +28,6 @@
 )
 
 
-def endpoints(count: int) -> list[Endpoint]:
-    """Endpoints in two zones and cells of two."""
-    return [Endpoint(bytes([i]), zone=i % 2, cell=i // 2) for i in range(count)]
-
-
 @pytest.mark.parametrize("seed", range(12))
 @pytest.mark.parametrize("hedging_allowed", [True, False])
 @pytest.mark.parametrize("tier_index", [0, 1])
@@ -62,7 +44,7 @@
         max_attempts=2 + seed % 4,
     )
     host = SimulatedHost(settings, seed)
-    host.update_endpoints(endpoints(8), EndpointListKind.CACHED)
+    host.update_endpoints(endpoints_in_cells(8), EndpointListKind.CACHED)
     host.run_random_events(1500)
     assert sum(isinstance(a, SendAttempt) for a in host.actions) > 100
     assert all(request.answered_at is not None for request in host.requests.values())
@@ -72,7 +54,7 @@
     streams = []
     for _ in range(2):
         host = make_host(endpoint_count=0, seed=3, health_checks_allowed=True)
-        host.update_endpoints(endpoints(6))
+        host.update_endpoints(endpoints_in_cells(6))
         host.run_random_events(400)
         streams.append(host.actions)
     assert streams[0] == streams[1]
--- a/tests/policy/test_endpoints.py
+++ b/tests/policy/test_endpoints.py
@@ -10,7 +10,8 @@
 from load_balancer.actions import PollEndpointList
 from load_balancer.events import Endpoint, EndpointListKind, EndpointListUpdate, EndpointState, Outcome
 from load_balancer.settings import Settings
-from tests.policy.environment import IDEMPOTENT, SimulatedHost, endpoints_in_memory, make_host
+from tests.policy.environment import SimulatedHost, endpoints_in_memory, make_host
+from tests.policy.samples import IDEMPOTENT
 
 POLLING = Settings(classes=(IDEMPOTENT,), poll_endpoint_list=True, poll_within_ms=4000.0, tick_ms=5.0)
 
--- a/tests/policy/test_outliers.py
+++ b/tests/policy/test_outliers.py
@@ -6,7 +6,8 @@
 
 from load_balancer.actions import CheckHealth, CloseIdleConnections
 from load_balancer.events import Endpoint, HealthCheckEnded, Outcome
-from tests.policy.environment import IDEMPOTENT, NON_IDEMPOTENT, SimulatedHost, endpoints_in_memory, make_host
+from tests.policy.environment import SimulatedHost, endpoints_in_memory, make_host
+from tests.policy.samples import IDEMPOTENT, NON_IDEMPOTENT
 
 FAULTY = bytes([2])
 SAFE_CLASS, UNSAFE_CLASS = 0, 1
--- a/tests/policy/test_retries.py
+++ b/tests/policy/test_retries.py
@@ -8,31 +8,15 @@
 
 from load_balancer.actions import CancelAttempt, CloseIdleConnections, FailRequest, RejectRequest
 from load_balancer.events import Endpoint, EndpointListKind, EndpointState, Outcome
-from load_balancer.settings import DeduplicationScope, Idempotency, RequestClass
-from tests.policy.environment import IDEMPOTENT, NON_IDEMPOTENT, SimulatedHost, make_host
-
-
-def keyed(scope: DeduplicationScope, window_ms: float) -> RequestClass:
-    """A class with an idempotency key."""
-    return RequestClass(
-        "k",
-        1000,
-        3000,
-        idempotency=Idempotency.KEYED,
-        deduplication_scope=scope,
-        deduplication_window_ms=window_ms,
-    )
-
-
-def endpoints(count: int) -> list[Endpoint]:
-    """Endpoints in two zones and cells of two."""
-    return [Endpoint(bytes([i]), zone=i % 2, cell=i // 2) for i in range(count)]
+from load_balancer.settings import DeduplicationScope, RequestClass
+from tests.policy.environment import SimulatedHost, make_host
+from tests.policy.samples import IDEMPOTENT, NON_IDEMPOTENT, endpoints_in_cells, keyed
 
 
 def host_in_cells(request_class: RequestClass, count: int, **settings: object) -> SimulatedHost:
     """A host with a list of endpoints in cells."""
     host = make_host(request_class, endpoint_count=0, seed=3, health_checks_allowed=True, **settings)
-    host.update_endpoints(endpoints(count))
+    host.update_endpoints(endpoints_in_cells(count))
     return host
 
 
@@ -125,7 +109,7 @@
     host = host_in_cells(IDEMPOTENT, 0)
     request = host.arrive()
     host.now = host.requests[request].deadline - left_ms
-    host.update_endpoints(endpoints(4))
+    host.update_endpoints(endpoints_in_cells(4))
     assert bool(host.requests[request].attempts) is sent
 
 
--- a/tests/policy/test_selection.py
+++ b/tests/policy/test_selection.py
@@ -20,7 +20,8 @@
 )
 from load_balancer.policy.balancer import Automaton
 from load_balancer.settings import Settings
-from tests.policy.environment import IDEMPOTENT, SimulatedHost, make_host
+from tests.policy.environment import SimulatedHost, make_host
+from tests.policy.samples import IDEMPOTENT
 
 SUBSET_LEAST, SUBSET_MOST = 6, 12
 ENDPOINTS = 60
--- a/tests/policy/test_slow_start.py
+++ b/tests/policy/test_slow_start.py
@@ -25,7 +25,8 @@
     TimerFired,
 )
 from load_balancer.settings import Settings
-from tests.policy.environment import IDEMPOTENT, SimulatedHost, make_host
+from tests.policy.environment import SimulatedHost, make_host
+from tests.policy.samples import IDEMPOTENT
 
 # ---------------------------------------------------------------- one node
 
