Move the fakes of the tests beside the proxy's tests and enable every linter rule

Change: tests/stubs.py is tests/proxy/fakes.py, and no file of the package is exempt from a rule any more.

--- a/load_balancer/proxy/server.py
+++ b/load_balancer/proxy/server.py
@@ -38,7 +38,7 @@
     TimerFired,
 )
 from load_balancer.policy.balancer import Balancer
-from load_balancer.proxy.clock import Clock as Clock
+from load_balancer.proxy.clock import Clock
 from load_balancer.proxy.configuration import NodeConfiguration
 from load_balancer.proxy.descriptors import divide_descriptors
 from load_balancer.proxy.discovery import EndpointDiscovery
@@ -249,9 +249,7 @@
             case FailRequest(request_id):
                 self._respond(request_id, 502)
             case CancelAttempt(request_id, number):
-                attempt = self._requests.get_attempt(request_id, number)
-                if attempt is not None:
-                    attempt.cancel(Outcome.CANCELLED)
+                self._cancel_attempt(request_id, number)
             case CheckHealth(endpoint_id):
                 self._health_checker.check(endpoint_id)
             case CloseIdleConnections(endpoint_id):
@@ -362,6 +360,11 @@
         timeout_ms = min(action.timeout_ms, remaining_ms) if action.timeout_ms > 0 else remaining_ms
         self._start_attempt(attempt, request, timeout_ms)
 
+    def _cancel_attempt(self, request_id: RequestId, number: int) -> None:
+        attempt = self._requests.get_attempt(request_id, number)
+        if attempt is not None:
+            attempt.cancel(Outcome.CANCELLED)
+
     def _skip_attempt(self, action: SendAttempt) -> None:
         """The client left while it waited or while this was decided, and the policy does not know yet."""
         request = self._requests.finished(action.request_id)
--- a/tests/stubs.py
+++ b/tests/proxy/fakes.py
@@ -356,7 +356,7 @@
     @property
     def endpoint_discovery(self) -> EndpointDiscovery:
         """The node's own side of discovery."""
-        return self.node._discovery
+        return self.node.discovery
 
     async def caller(self) -> Caller:
         """Open a client's connection to the node."""
--- a/tests/proxy/node_harness.py
+++ b/tests/proxy/node_harness.py
@@ -26,7 +26,7 @@
 from load_balancer.proxy.downstream_connection import DownstreamConnection
 from load_balancer.proxy.request_table import RequestTable
 from load_balancer.proxy.server import Node
-from tests.stubs import PATIENCE_S, StubServer, World, request, settings, until
+from tests.proxy.fakes import PATIENCE_S, StubServer, World, request, settings, until
 
 Handle = Callable[[Event, float], list[Action]]
 """What a policy does with one event."""
--- a/tests/proxy/test_attempts.py
+++ b/tests/proxy/test_attempts.py
@@ -11,16 +11,7 @@
 from load_balancer.events import Event, Outcome, RequestArrived, TimerFired
 from load_balancer.proxy import downstream
 from load_balancer.proxy.server import Node
-from tests.proxy.node_harness import (
-    PATIENT_CONNECT,
-    DelayedConnections,
-    PolicyRecorder,
-    blocking_client,
-    nothing_left,
-    policy_limits,
-    replace_policy,
-)
-from tests.stubs import (
+from tests.proxy.fakes import (
     HOST,
     PATIENCE_S,
     StubServer,
@@ -34,6 +25,15 @@
     until,
     world,
 )
+from tests.proxy.node_harness import (
+    PATIENT_CONNECT,
+    DelayedConnections,
+    PolicyRecorder,
+    blocking_client,
+    nothing_left,
+    policy_limits,
+    replace_policy,
+)
 
 
 @pytest.mark.parametrize("cancel", [True, False])
--- a/tests/proxy/test_configuration.py
+++ b/tests/proxy/test_configuration.py
@@ -11,7 +11,7 @@
 from load_balancer.events import EndpointListKind, EndpointState
 from load_balancer.proxy.configuration import ConfigurationError, load_configuration
 from load_balancer.settings import Idempotency
-from tests.stubs import listing, row, settings
+from tests.proxy.fakes import listing, row, settings
 
 
 def _configuration(**changes: Any) -> dict[str, Any]:
--- a/tests/proxy/test_discovery.py
+++ b/tests/proxy/test_discovery.py
@@ -11,7 +11,7 @@
 from load_balancer.policy.endpoints import POLL_BACKOFF_MAX_MS
 from load_balancer.proxy import discovery, discovery_watch
 from load_balancer.proxy.server import Node
-from tests.stubs import (
+from tests.proxy.fakes import (
     PATIENCE_S,
     StubDiscovery,
     StubServer,
--- a/tests/proxy/test_discovery_watch.py
+++ b/tests/proxy/test_discovery_watch.py
@@ -9,7 +9,7 @@
 import pytest
 
 from load_balancer.proxy import discovery_watch
-from tests.stubs import HOST, StubServer, async_test, listing, reply, row, tell, until, world
+from tests.proxy.fakes import HOST, StubServer, async_test, listing, reply, row, tell, until, world
 
 
 def _send_pieces(watch: asyncio.StreamWriter, *pieces: bytes) -> None:
--- a/tests/proxy/test_downstream.py
+++ b/tests/proxy/test_downstream.py
@@ -14,14 +14,7 @@
     DownstreamConnection,
 )
 from load_balancer.proxy.eviction import SCAN_LIMIT, EvictionPriority
-from tests.proxy.node_harness import (
-    answered_client,
-    ignore_events,
-    open_requests,
-    read_to_end,
-    replace_policy,
-)
-from tests.stubs import (
+from tests.proxy.fakes import (
     PATIENCE_S,
     Caller,
     StubServer,
@@ -34,6 +27,13 @@
     until,
     world,
 )
+from tests.proxy.node_harness import (
+    answered_client,
+    ignore_events,
+    open_requests,
+    read_to_end,
+    replace_policy,
+)
 
 
 def _reset(client: Caller) -> None:
--- a/tests/proxy/test_downstream_connection.py
+++ b/tests/proxy/test_downstream_connection.py
@@ -12,14 +12,7 @@
     MAX_PIPELINED_REQUESTS,
     REQUEST_TIMEOUT_S,
 )
-from tests.proxy.node_harness import (
-    PolicyRecorder,
-    answered_client,
-    connect_with_small_buffers,
-    open_requests,
-    read_to_end,
-)
-from tests.stubs import (
+from tests.proxy.fakes import (
     PATIENCE_S,
     StubServer,
     async_test,
@@ -30,6 +23,13 @@
     until,
     world,
 )
+from tests.proxy.node_harness import (
+    PolicyRecorder,
+    answered_client,
+    connect_with_small_buffers,
+    open_requests,
+    read_to_end,
+)
 
 
 @async_test
--- a/tests/proxy/test_endpoint_faults.py
+++ b/tests/proxy/test_endpoint_faults.py
@@ -12,10 +12,7 @@
 
 import pytest
 
-from tests.proxy.node_harness import (
-    policy_limits,
-)
-from tests.stubs import (
+from tests.proxy.fakes import (
     HOST,
     Behaviour,
     Received,
@@ -28,6 +25,9 @@
     until,
     world,
 )
+from tests.proxy.node_harness import (
+    policy_limits,
+)
 
 DEADLINE_S = 0.6
 LOST_S = 0.5  # later than this after its deadline a response counts as none
--- a/tests/proxy/test_endpoint_listing.py
+++ b/tests/proxy/test_endpoint_listing.py
@@ -7,7 +7,7 @@
 import pytest
 
 from load_balancer.proxy.endpoint_listing import ListingError, ListingReader
-from tests.stubs import listing, row
+from tests.proxy.fakes import listing, row
 
 
 @pytest.mark.parametrize(
--- a/tests/proxy/test_endpoint_pool.py
+++ b/tests/proxy/test_endpoint_pool.py
@@ -9,8 +9,8 @@
 import pytest
 
 from load_balancer.events import Outcome
+from tests.proxy.fakes import PATIENCE_S, StubServer, async_test, reply, silent, until
 from tests.proxy.upstream_harness import upstream
-from tests.stubs import PATIENCE_S, StubServer, async_test, reply, silent, until
 
 
 @pytest.mark.usefixtures("no_reuse_delay")
--- a/tests/proxy/test_endpoint_updates.py
+++ b/tests/proxy/test_endpoint_updates.py
@@ -6,10 +6,7 @@
 
 import pytest
 
-from tests.proxy.node_harness import (
-    PolicyRecorder,
-)
-from tests.stubs import (
+from tests.proxy.fakes import (
     PATIENCE_S,
     StubServer,
     async_test,
@@ -20,6 +17,9 @@
     until,
     world,
 )
+from tests.proxy.node_harness import (
+    PolicyRecorder,
+)
 
 
 @async_test
--- a/tests/proxy/test_lifecycle.py
+++ b/tests/proxy/test_lifecycle.py
@@ -16,13 +16,7 @@
     EndpointListUpdate,
 )
 from load_balancer.proxy import lifecycle
-from tests.proxy.node_harness import (
-    PolicyRecorder,
-    blocking_client,
-    open_requests,
-    read_to_end,
-)
-from tests.stubs import (
+from tests.proxy.fakes import (
     HOST,
     PATIENCE_S,
     StubDiscovery,
@@ -38,6 +32,12 @@
     until,
     world,
 )
+from tests.proxy.node_harness import (
+    PolicyRecorder,
+    blocking_client,
+    open_requests,
+    read_to_end,
+)
 
 
 def _classes(*deadlines_ms: float) -> list[dict[str, Any]]:
--- a/tests/proxy/test_loop_iterations.py
+++ b/tests/proxy/test_loop_iterations.py
@@ -9,11 +9,7 @@
 import pytest
 
 from load_balancer.proxy.server import BUDGET_RESERVE_MS
-from tests.proxy.node_harness import (
-    PolicyRecorder,
-    blocking_client,
-)
-from tests.stubs import (
+from tests.proxy.fakes import (
     PATIENCE_S,
     StubServer,
     async_test,
@@ -23,6 +19,10 @@
     until,
     world,
 )
+from tests.proxy.node_harness import (
+    PolicyRecorder,
+    blocking_client,
+)
 
 
 class _StandingClock:
--- a/tests/proxy/test_request_parsing.py
+++ b/tests/proxy/test_request_parsing.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tests.stubs import (
+from tests.proxy.fakes import (
     StubServer,
     async_test,
     reply,
--- a/tests/proxy/test_request_table.py
+++ b/tests/proxy/test_request_table.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from tests.stubs import (
+from tests.proxy.fakes import (
     PATIENCE_S,
     StubServer,
     async_test,
--- a/tests/proxy/test_server.py
+++ b/tests/proxy/test_server.py
@@ -14,12 +14,7 @@
 )
 from load_balancer.proxy.clock import Clock
 from load_balancer.proxy.server import Node
-from tests.proxy.node_harness import (
-    PolicyRecorder,
-    ignore_events,
-    replace_policy,
-)
-from tests.stubs import (
+from tests.proxy.fakes import (
     HOST,
     PATIENCE_S,
     StubServer,
@@ -35,6 +30,11 @@
     until,
     world,
 )
+from tests.proxy.node_harness import (
+    PolicyRecorder,
+    ignore_events,
+    replace_policy,
+)
 
 BODY = bytes(range(256)) * 4
 
--- a/tests/proxy/test_upstream_connection.py
+++ b/tests/proxy/test_upstream_connection.py
@@ -7,8 +7,8 @@
 import pytest
 
 from load_balancer.events import Outcome
+from tests.proxy.fakes import PATIENCE_S, Behaviour, StubServer, async_test, raw, reply, reset, silent, until
 from tests.proxy.upstream_harness import OutcomeAndBody, render_request, upstream
-from tests.stubs import PATIENCE_S, Behaviour, StubServer, async_test, raw, reply, reset, silent, until
 
 NOT_RUN = "X-Not-Run: 1\r\n"
 CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/tests/proxy/upstream_harness.py
+++ b/tests/proxy/upstream_harness.py
@@ -12,7 +12,7 @@
 from load_balancer.proxy.http1 import HttpMessage
 from load_balancer.proxy.upstream import UpstreamPools
 from load_balancer.proxy.upstream_connection import UpstreamRequest
-from tests.stubs import PATIENCE_S, listing, row
+from tests.proxy.fakes import PATIENCE_S, listing, row
 
 REQUEST = b"GET /api/x HTTP/1.1\r\nHost: h\r\n\r\n"
 
--- a/tests/test_main.py
+++ b/tests/test_main.py
@@ -16,7 +16,7 @@
 import pytest
 
 from load_balancer.proxy.lifecycle import FIRST_LIST_WAIT_S
-from tests.stubs import (
+from tests.proxy.fakes import (
     HOST,
     PATIENCE_S,
     Caller,
