Check a send by a public function, so that no test reads a private field

Cause: one test called the private methods that send and answer, as no event reaches their last checks. Change: selection.may_send and RequestTable.take hold these checks; the test asks them, one condition at a time.

--- a/load_balancer/policy/balancer.py
+++ b/load_balancer/policy/balancer.py
@@ -14,7 +14,7 @@
 from load_balancer.policy.outcomes import OutcomeRecorder
 from load_balancer.policy.outliers import CircuitBreakers, OutlierDetector
 from load_balancer.policy.retries import RetryPolicy
-from load_balancer.policy.selection import EndpointSelector, permits
+from load_balancer.policy.selection import EndpointSelector, may_send
 from load_balancer.policy.slow_start import SlowStart
 from load_balancer.policy.subset import EndpointSubset
 from load_balancer.settings import Settings
@@ -127,7 +127,7 @@
                 self._finish(request)
 
     def _on_request_abandoned(self, event: events.RequestAbandoned) -> None:
-        request = self.context.requests.by_id.pop(event.request_id, None)
+        request = self.context.requests.take(event.request_id)
         if request is not None:  # else it finished a moment ago
             self.queue.remove(request)
             self._cancel_attempts(request)
@@ -180,14 +180,8 @@
 
     def _send(self, request: Request, record: EndpointRecord) -> bool:
         """The one path that sends an attempt, if the rules allow it; slow start has been asked before."""
-        context, settings = self.context, self.settings
-        if (
-            context.requests.by_id.get(request.id) is not request
-            or request.response_started
-            or request.deadline - context.now <= settings.tick_ms
-            or len(request.attempts) >= settings.max_attempts
-            or not permits(context, request, record)
-        ):
+        context = self.context
+        if not may_send(context, request, record):
             return False
         self.queue.remove(request)
         context.requests.start_attempt(request, record, context.now)
@@ -201,7 +195,7 @@
 
     def _finish(self, request: Request) -> None:
         """The one path that answers a request that is not served."""
-        if self.context.requests.by_id.pop(request.id, None) is None:
+        if self.context.requests.take(request.id) is None:
             return
         self.queue.remove(request)
         self.context.actions.append(self.retries.final_answer(request))
--- a/load_balancer/policy/selection.py
+++ b/load_balancer/policy/selection.py
@@ -39,6 +39,17 @@
     return scope is DeduplicationScope.ALL or endpoint.cell == first.endpoint.cell
 
 
+def may_send(context: NodeContext, request: Request, record: EndpointRecord) -> bool:
+    """Whether an attempt may be sent now: the last check, whatever has been asked before."""
+    return (
+        context.requests.by_id.get(request.id) is request
+        and not request.response_started
+        and request.deadline - context.now > context.settings.tick_ms
+        and len(request.attempts) < context.settings.max_attempts
+        and permits(context, request, record)
+    )
+
+
 def permitted(context: NodeContext, request: Request) -> Sequence[int]:
     """The indices of the drawable endpoints that an attempt of this request may go to."""
     records = context.endpoints.drawable
--- a/load_balancer/state/records.py
+++ b/load_balancer/state/records.py
@@ -230,6 +230,10 @@
         if event.request_id in self.by_id:
             raise UnexpectedEventError(f"request {event.request_id} arrived twice")
 
+    def take(self, request_id: RequestId) -> Request | None:
+        """Take a request out that needs no answer any more; None where it is out already."""
+        return self.by_id.pop(request_id, None)
+
     def start_attempt(self, request: Request, record: EndpointRecord, now: float) -> None:
         """Enter the next attempt of a request."""
         key = (request.id, len(request.attempts))
--- a/tests/policy/test_retries.py
+++ b/tests/policy/test_retries.py
@@ -8,6 +8,7 @@
 
 from load_balancer.actions import CancelAttempt, CloseIdleConnections, FailRequest, RejectRequest
 from load_balancer.events import Endpoint, EndpointListKind, EndpointState, Outcome
+from load_balancer.policy.selection import may_send
 from load_balancer.settings import DeduplicationScope, RequestClass
 from tests.policy.environment import SimulatedHost, make_host
 from tests.policy.samples import IDEMPOTENT, NON_IDEMPOTENT, endpoints_in_cells, keyed
@@ -119,21 +120,27 @@
 ) -> None:
     """No event reaches these checks today, as the callers filter first: they are called directly."""
     host = host_in_cells(IDEMPOTENT, 3, hedging_allowed=hedging_allowed, max_attempts=2)
-    node = host.balancer
-    request = node.context.requests.by_id[host.arrive()]
+    context = host.balancer.context
+    requests = context.requests
+    request = requests.by_id[host.arrive()]
     tried = request.attempts[0].endpoint.id
-    other, drained = (record for record in node.context.endpoints.drawable if record.endpoint.id != tried)
+    other, drained = (record for record in context.endpoints.drawable if record.endpoint.id != tried)
     host.update_endpoints([Endpoint(drained.endpoint.id, EndpointState.DRAINING)], EndpointListKind.DELTA)
-    assert not node._send(request, drained)
-    assert node._send(request, other) is hedging_allowed
-    assert not hedging_allowed or not node._send(request, other)  # no more than the attempts allowed
-    request.deadline = host.now + 1.0
-    assert not node._send(request, other)
-    node._finish(request)
-    actions = len(node.context.actions)
-    node._finish(request)
-    assert len(node.context.actions) == actions  # one final answer
-    assert not node._send(request, other)
+    assert not may_send(context, request, drained)
+    assert may_send(context, request, other) is hedging_allowed
+    deadline, request.deadline = request.deadline, host.now + 1.0
+    assert not may_send(context, request, other)
+    request.deadline = deadline
+    request.response_started = True
+    assert not may_send(context, request, other)
+    request.response_started = False
+    requests.start_attempt(request, other, host.now)
+    assert not may_send(context, request, other)  # no more than the attempts allowed
+    request.attempts.pop()
+    assert may_send(context, request, other) is hedging_allowed
+    assert requests.take(request.id) is request
+    assert requests.take(request.id) is None  # one final answer
+    assert not may_send(context, request, other)
 
 
 # ---------------------------------------------------------------- hedged requests
