Take a response without a length as complete when its connection closes in order

Change: the reader completes it at an orderly end of input, within the limit on bodies, and the connection is not used again; a reset completes nothing. Two tests took the old behaviour for right: the case of an orderly close is now a response (with its body), and the cases of a reset close with a real one; reset-and-truncated cases stay. New tests fail without it: orderly end, in pieces, at the size limit, error and rejection without a length.

--- a/load_balancer/proxy/upstream_connection.py
+++ b/load_balancer/proxy/upstream_connection.py
@@ -196,7 +196,14 @@
             self._complete(self._response)
 
     def eof_received(self) -> bool:
-        """The endpoint has closed its side; the transport closes ours."""
+        """The endpoint has closed its side in order, which completes a response without a length.
+
+        The transport closes our side.  A reset is not reported here.
+        """
+        if self._request is not None:
+            self._reader.end_of_input()
+            if self._response is not None:
+                self._complete(self._response)
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/tests/proxy/fakes.py
+++ b/tests/proxy/fakes.py
@@ -10,6 +10,9 @@
 import functools
 import itertools
 import json
+import os
+import socket
+import struct
 from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
 from dataclasses import dataclass, field
 from typing import Any, ParamSpec, TypeVar
@@ -148,9 +151,41 @@
     return behave
 
 
+def reset_connection(writer: asyncio.StreamWriter) -> None:
+    """Close with a reset in place of an orderly end."""
+    with socket.socket(fileno=os.dup(writer.get_extra_info("socket").fileno())) as connection:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
 async def reset(_: StubServer, __: Received, writer: asyncio.StreamWriter) -> None:
     """Reset the connection."""
-    writer.transport.abort()
+    reset_connection(writer)
+
+
+def then_reset(text: bytes) -> Behaviour:
+    """Write these bytes, then reset the connection."""
+
+    async def behave(_: StubServer, __: Received, writer: asyncio.StreamWriter) -> None:
+        writer.write(text)
+        await asyncio.sleep(0)  # the bytes are sent before the connection ends
+        reset_connection(writer)
+
+    return behave
+
+
+def in_pieces(*pieces: bytes) -> Behaviour:
+    """Write each piece when the endpoint's release is set for it, then close in order."""
+
+    async def behave(server: StubServer, _: Received, writer: asyncio.StreamWriter) -> None:
+        for piece in pieces:
+            await server.release.wait()
+            server.release.clear()
+            writer.write(piece)
+            server.got.set()
+        writer.close()
+
+    return behave
 
 
 async def silent(server: StubServer, _: Received, __: asyncio.StreamWriter) -> None:
