--- a/load_balancer/proxy/upstream.py
+++ b/load_balancer/proxy/upstream.py
@@ -7,6 +7,7 @@
 
 from load_balancer.events import Endpoint, EndpointId, EndpointState, Outcome
 from load_balancer.proxy.address import Address
+from load_balancer.proxy.connection_opener import ConnectionOpener
 from load_balancer.proxy.endpoint_listing import EndpointListing
 from load_balancer.proxy.endpoint_pool import IDLE_TIMEOUT_FRACTION, EndpointPool
 from load_balancer.proxy.upstream_connection import (
@@ -33,18 +34,17 @@
         """Start with no endpoint.
 
         Args:
-            connect_timeout_s: how long a connection may take to come up, in seconds.
+            connect_timeout_s: how long a request waits for a connection, in seconds.
             endpoint_idle_s: after how many idle seconds endpoints close a connection.
             max_open: how many connections may be open or opening.
         """
         self._loop = asyncio.get_running_loop()
-        self._connect_timeout_s = connect_timeout_s
         self._max_idle_timeout_s = IDLE_TIMEOUT_FRACTION * endpoint_idle_s
         self._max_open = max_open
         self._pools: dict[EndpointId, EndpointPool] = {}
         self._endpoint_at: dict[Address, EndpointId] = {}  # which endpoint is listed at an address
         self._open: set[UpstreamConnection] = set()
-        self._connect_tasks: set[asyncio.Task[None]] = set()
+        self._opener = ConnectionOpener(connect_timeout_s, self._make_capacity)
         self._reap_timer = self._loop.call_later(REAP_INTERVAL_S, self._on_reap_timer)
 
     @property
@@ -60,7 +60,7 @@
     @property
     def pending_connects(self) -> int:
         """How many connections are being opened."""
-        return len(self._connect_tasks)
+        return self._opener.pending_connects
 
     @property
     def has_endpoints(self) -> bool:
@@ -144,42 +144,12 @@
         if connection is not None:
             connection.send(request)
         elif self._make_capacity():
-            task = self._loop.create_task(self._connect(pool, request))
-            self._connect_tasks.add(task)
-            task.add_done_callback(self._connect_tasks.discard)
+            self._opener.open_for(pool, request)
         else:
             log.warning("connection_limit_reached endpoint=%s max_open=%d", pool.name, self._max_open)
             self._loop.call_soon(request.end, Outcome.CONNECT_FAILED)
         return request
 
-    async def _connect(self, pool: EndpointPool, request: UpstreamRequest) -> None:
-        host, port = pool.address
-        try:
-            async with asyncio.timeout(self._connect_timeout_s):
-                _, connection = await self._loop.create_connection(
-                    lambda: UpstreamConnection(pool.name, pool), host, port
-                )
-        except (OSError, TimeoutError):
-            request.end(Outcome.CONNECT_FAILED)
-            return
-        self._send_first(request, connection, pool)
-
-    @staticmethod
-    def _send_first(request: UpstreamRequest, connection: UpstreamConnection, pool: EndpointPool) -> None:
-        """Send a request on the connection opened for it, unless something has changed meanwhile."""
-        if not request.ended and not request.still_wanted():
-            request.end(Outcome.NOT_SENT)
-        if request.ended:
-            pool.connection_released(connection)
-        elif pool.retired:
-            # Drained, gone or restarted: what was decided for this process must not reach it any more.
-            connection.abort()
-            request.end(Outcome.NOT_SENT)
-        elif connection.is_open():
-            connection.send(request)
-        else:
-            request.end(Outcome.CONNECT_FAILED)
-
     # Connections.
 
     def close_idle(self, endpoint_id: EndpointId) -> None:
@@ -191,8 +161,7 @@
     def close(self) -> None:
         """Close everything.  Requests in flight are left to their deadline timers."""
         self._reap_timer.cancel()
-        for task in list(self._connect_tasks):
-            task.cancel()
+        self._opener.close()
         for connection in list(self._open):
             connection.abort()
 
@@ -208,7 +177,7 @@
 
     def _make_capacity(self) -> bool:
         """Whether one more connection may be opened; at the limit an idle one is closed for it."""
-        if len(self._open) + len(self._connect_tasks) < self._max_open:
+        if len(self._open) + self._opener.pending_connects < self._max_open:
             return True
         pool = min(self._pools.values(), key=lambda pool: pool.oldest_idle_since, default=None)
         if pool is None or not pool.has_idle:
--- /dev/null
+++ b/tests/proxy/test_connection_opener.py
@@ -0,0 +1,116 @@
+"""Connections that come up late, and the requests that wait for them."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import pytest
+
+from load_balancer.events import Outcome
+from load_balancer.proxy.connection_opener import MAX_RACED_CONNECTIONS
+from tests.proxy.fakes import PATIENCE_S, StubServer, async_test, held, reply, row, until
+from tests.proxy.upstream_harness import upstream
+
+
+class LateConnections:
+    """Holds every connection back until it is let come up, in any order.
+
+    Attributes:
+        gates: for each connection that was begun, in order, what lets it come up.
+    """
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        loop = asyncio.get_running_loop()
+        self.gates: list[asyncio.Event] = []
+        self._create_connection = loop.create_connection
+        monkeypatch.setattr(loop, "create_connection", self._connect_late)
+
+    async def _connect_late(self, factory: Any, host: str, port: int, **options: Any) -> Any:
+        gate = asyncio.Event()
+        self.gates.append(gate)
+        await gate.wait()
+        return await self._create_connection(factory, host, port, **options)
+
+    async def begun(self, count: int) -> None:
+        """Wait until so many connections were begun."""
+        await until(lambda: len(self.gates) >= count)
+
+
+@async_test
+async def test_raced_connection_carries_the_request_when_the_first_is_late(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async with StubServer([reply("200 OK", b"x")]) as endpoint, upstream(endpoint.address) as harness:
+        late = LateConnections(monkeypatch)
+        _, future = harness.start()
+        await late.begun(2)
+        late.gates[1].set()
+        assert await future == (Outcome.OK, b"x")
+        assert len(endpoint.received) == 1
+
+
+@pytest.mark.usefixtures("no_reuse_delay")
+@async_test
+async def test_connection_that_comes_up_late_is_kept_for_a_later_request(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The request has timed out by then."""
+    async with StubServer([reply("200 OK", b"x")]) as endpoint, upstream(endpoint.address) as harness:
+        late = LateConnections(monkeypatch)
+        assert await harness.send() == (Outcome.CONNECT_FAILED, b"")
+        late.gates[0].set()
+        await until(lambda: harness.pools.pools[0].has_idle)
+        begun = len(late.gates)
+        assert await harness.send() == (Outcome.OK, b"x")
+        assert len(late.gates) == begun and len(endpoint.received) == 1
+
+
+@async_test
+async def test_connection_that_comes_up_carries_the_request_that_waits_longest(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async with StubServer([held(reply("200 OK"))]) as endpoint, upstream(endpoint.address) as harness:
+        late = LateConnections(monkeypatch)
+        first, _ = harness.start()
+        second, _ = harness.start()
+        await late.begun(2)
+        late.gates[1].set()
+        await until(lambda: first.written or second.written)
+        assert first.written and not second.written
+        endpoint.release.set()
+
+
+@async_test
+async def test_connections_that_one_request_opens_are_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    async with StubServer([reply("200 OK")]) as endpoint, upstream(endpoint.address) as harness:
+        late = LateConnections(monkeypatch)
+        assert await harness.send() == (Outcome.CONNECT_FAILED, b"")
+        assert len(late.gates) == MAX_RACED_CONNECTIONS == harness.pools.pending_connects
+        assert not endpoint.received
+
+
+@async_test
+async def test_raced_connections_keep_to_the_connection_limit(monkeypatch: pytest.MonkeyPatch) -> None:
+    async with (
+        StubServer([reply("200 OK")]) as endpoint,
+        upstream(endpoint.address, max_open=2) as harness,
+    ):
+        late = LateConnections(monkeypatch)
+        assert await harness.send() == (Outcome.CONNECT_FAILED, b"")
+        assert len(late.gates) == 2
+
+
+@async_test
+async def test_late_connection_to_a_process_that_was_replaced_is_not_used(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async with StubServer([reply("200 OK", b"x")]) as endpoint, upstream(endpoint.address) as harness:
+        late = LateConnections(monkeypatch)
+        _, future = harness.start()
+        await late.begun(1)
+        harness.update(2, row("a", endpoint.address, started=5.0))
+        late.gates[0].set()
+        assert await future == (Outcome.NOT_SENT, b"")
+        await asyncio.wait_for(endpoint.left.wait(), PATIENCE_S)
+        assert not endpoint.received and not harness.pools.pools[0].has_idle
