Take out the second name of poll_socket, which nothing needs any more

Cause: two modules imported the old name while both sides were being split. Change: they import poll_socket; the alias goes. Measured: the tests of these modules, types and linter pass.

--- a/load_balancer/proxy/discovery_watch.py
+++ b/load_balancer/proxy/discovery_watch.py
@@ -12,7 +12,7 @@
 from load_balancer.proxy.address import Address
 from load_balancer.proxy.endpoint_listing import ListingError
 from load_balancer.proxy.json_stream import JsonObjectStream, MalformedStreamError
-from load_balancer.proxy.socket_poll import polls
+from load_balancer.proxy.socket_poll import poll_socket
 
 log = logging.getLogger(__name__)
 
@@ -148,7 +148,7 @@
         Input that lies unread, as the loop was late, came in time; it is read first.
         """
         transport = self._transport
-        if transport is not None and polls(transport.get_extra_info("socket").fileno(), select.POLLIN):
+        if transport is not None and poll_socket(transport.get_extra_info("socket").fileno(), select.POLLIN):
             self._set_timer(0.0)
         else:
             self._end()
--- a/load_balancer/proxy/socket_poll.py
+++ b/load_balancer/proxy/socket_poll.py
@@ -10,6 +10,3 @@
     poll = select.poll()
     poll.register(descriptor, event)
     return bool(poll.poll(0))
-
-
-polls = poll_socket  # the name that upstream.py and discovery.py import
--- a/load_balancer/proxy/upstream_connection.py
+++ b/load_balancer/proxy/upstream_connection.py
@@ -14,7 +14,7 @@
 from load_balancer.events import Outcome
 from load_balancer.proxy.http1 import HttpMessage, HttpMessageError, HttpReader
 from load_balancer.proxy.http_headers import NOT_RUN
-from load_balancer.proxy.socket_poll import polls
+from load_balancer.proxy.socket_poll import poll_socket
 
 log = logging.getLogger(__name__)
 
@@ -156,7 +156,7 @@
         if not self.is_open():
             return False
         assert self._transport is not None
-        return not polls(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return not poll_socket(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
 
     def send(self, request: UpstreamRequest) -> None:
         """Write the request; from here on it may have run."""
