--- a/load_balancer/proxy/http1.py
+++ b/load_balancer/proxy/http1.py
@@ -210,7 +210,7 @@
         message.body = b"".join(self._body_parts)
         self._body_parts.clear()
         message.keep_alive = keep_alive
-        if _is_interim(message):
+        if _is_interim(message.status):
             return  # its size counts towards the head of the final response
         self._head_input_left, self._head_size = MAX_HEAD_BYTES, 0
         self._on_message(message)
@@ -251,9 +251,9 @@
 
 def _has_no_body(status: int) -> bool:
     """Whether a response with this status ends with its head."""
-    return 100 <= status < 200 or status in (204, 304)
+    return _is_interim(status) or status in (204, 304)
 
 
-def _is_interim(message: HttpMessage) -> bool:
-    """Whether this is a 1xx response, which announces the final one."""
-    return 100 <= message.status < 200
+def _is_interim(status: int) -> bool:
+    """Whether a response with this status announces the final one."""
+    return 100 <= status < 200
