Add a randomized fault test of real nodes, with an oracle outside of them

Stub servers behind a fault proxy, stub clients, a discovery agent for each node and real node processes write one history on one monotonic clock; the invariants are functions of that history.

--- /dev/null
+++ b/fault_soak/discovery.py
@@ -0,0 +1,198 @@
+"""Stub discovery: one state of the fleet, and an agent of each node that passes it on, late or never."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import random
+from dataclasses import dataclass, field
+
+from fault_soak.history import EndpointNotified, History, Lifecycle
+from fault_soak.http import read_message
+from fault_soak.proxy import HOST, reset
+
+HEARTBEAT_S = 2.0
+SILENT_WATCH_NOTIFIED_S = 6.0
+MOVED_NOTIFIED_S = 4.0
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """One change of the list: the row as it is from this generation on."""
+
+    generation: int
+    row: dict[str, object]
+
+    @property
+    def server(self) -> str:
+        """The server that it is about."""
+        return str(self.row["instanceId"])
+
+    @property
+    def lifecycle(self) -> Lifecycle:
+        """The server's state from here on."""
+        return Lifecycle(str(self.row["lifecycle"]))
+
+
+@dataclass(slots=True)
+class FleetState:
+    """What discovery knows: every change so far, in order."""
+
+    changes: list[Change] = field(default_factory=list)
+
+    def announce(self, row: dict[str, object], lifecycle: Lifecycle | None = None) -> Change:
+        """Record a change of one server."""
+        state = row if lifecycle is None else {**row, "lifecycle": lifecycle.value}
+        change = Change(len(self.changes) + 1, state)
+        self.changes.append(change)
+        return change
+
+    def whole_list(self, generation: int) -> dict[str, object]:
+        """The complete list as of a generation."""
+        rows: dict[str, dict[str, object]] = {}
+        for change in self.changes[:generation]:
+            rows[change.server] = change.row
+        listed = [row for row in rows.values() if row["lifecycle"] != "DELETED"]
+        return {"generation": generation, "reset": True, "instances": listed}
+
+
+@dataclass(slots=True)
+class Agent:
+    """The agent of one node: holds a generation, and serves watches at its present address."""
+
+    node: str
+    fleet: FleetState
+    history: History
+    rng: random.Random
+    pushed: bool
+    generation: int = 0
+    down: bool = False
+    silent: bool = False  # open watches get nothing any more; new ones do
+    pieces: bool = False
+    port: int = 0
+    fired: int = 0
+    notified_from: float = 0.0  # nothing counts as notified before
+    _server: asyncio.Server | None = None
+    _watches: set[asyncio.StreamWriter] = field(default_factory=set)
+    _silenced: set[asyncio.StreamWriter] = field(default_factory=set)
+    _changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    async def open(self, port: int = 0) -> None:
+        """Listen at a new address, or at a given port."""
+        self._server = await asyncio.start_server(self._serve, HOST, port)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def move(self) -> asyncio.Server | None:
+        """Listen at a new address; gives the old listener, which is to be closed later."""
+        old = self._server
+        self._silenced |= self._watches  # what they led to is told nothing any more
+        await self.open()
+        self.notified_from = History.now() + MOVED_NOTIFIED_S
+        return old
+
+    def close(self) -> None:
+        """Stop."""
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._watches):
+            writer.close()
+
+    def receive(self, generation: int) -> None:
+        """The agent gets everything up to a generation; it learns nothing while discovery is down."""
+        if self.down or generation <= self.generation:
+            return
+        news = self.fleet.changes[self.generation : generation]
+        self.generation = generation
+        now = History.now()
+        late = 0.0 if self.pushed else SILENT_WATCH_NOTIFIED_S
+        notified_at = max(now + late, self.notified_from)
+        for change in news:
+            self._record(notified_at, change)
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+
+    def set_down(self, down: bool) -> None:
+        """Discovery is lost, or is back, with all that has changed meanwhile."""
+        self.down = down
+        if not down:
+            self.receive(len(self.fleet.changes))
+
+    def silence_watches(self) -> None:
+        """The watches that are open now get nothing any more."""
+        self.fired += len(self._watches)
+        self._silenced |= self._watches
+        # What a silent watch misses counts as notified later.
+        self.notified_from = max(self.notified_from, History.now() + SILENT_WATCH_NOTIFIED_S)
+
+    def reset_watches(self) -> None:
+        """The watches that are open now are reset."""
+        self.fired += len(self._watches)
+        for writer in list(self._watches):
+            reset(writer)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._watches.add(writer)
+        try:
+            with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
+                message = await read_message(reader)
+                target = message.target
+                known = int(target.rpartition("from=")[2]) if "from=" in target else 0
+                await self._until_up()
+                await self._watch(writer, known)
+        finally:
+            self._watches.discard(writer)
+            self._silenced.discard(writer)
+            writer.close()
+
+    async def _until_up(self) -> None:
+        while self.down:
+            await asyncio.sleep(0.02)
+
+    async def _watch(self, writer: asyncio.StreamWriter, known: int) -> None:
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        first = True
+        while not writer.transport.is_closing():
+            changed, generation = self._changed, self.generation
+            if self.down or writer in self._silenced:
+                await asyncio.sleep(0.02)
+                continue
+            if first or generation > known:
+                await self._tell(writer, self._news(known, generation, first=first))
+                self._record_written(known, generation)
+                known, first = generation, False
+            elif not changed.is_set():
+                try:
+                    await asyncio.wait_for(changed.wait(), HEARTBEAT_S)
+                except TimeoutError:
+                    _write_chunk(writer, b"\n")
+
+    def _record_written(self, known: int, generation: int) -> None:
+        """What has been written to a node counts as notified at once."""
+        for change in self.fleet.changes[known:generation]:
+            self._record(History.now(), change)
+
+    def _record(self, at: float, change: Change) -> None:
+        self.history.add(EndpointNotified(at, self.node, change.server, change.lifecycle, change.generation))
+
+    def _news(self, known: int, generation: int, *, first: bool) -> dict[str, object]:
+        if first and (known == 0 or self.rng.random() < 0.5):
+            return self.fleet.whole_list(generation)
+        rows = [change.row for change in self.fleet.changes[known:generation]]
+        return {"generation": generation, "reset": False, "instances": rows}
+
+    async def _tell(self, writer: asyncio.StreamWriter, news: dict[str, object]) -> None:
+        text = json.dumps(news, indent=2 if self.pieces else None).encode() + b"\n"
+        if not self.pieces:
+            _write_chunk(writer, text)
+            return
+        self.fired += 1
+        cut = self.rng.randrange(1, len(text))
+        _write_chunk(writer, text[:cut])
+        await asyncio.sleep(0.03)
+        _write_chunk(writer, text[cut:])
+
+
+def _write_chunk(writer: asyncio.StreamWriter, text: bytes) -> None:
+    if not writer.transport.is_closing():
+        writer.write(b"%x\r\n%s\r\n" % (len(text), text))
--- /dev/null
+++ b/fault_soak/history.py
@@ -0,0 +1,248 @@
+"""The history of one play: what stubs sent, received and announced, on one monotonic clock."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import TypeVar
+
+EventType = TypeVar("EventType", bound="HistoryEvent")
+
+
+class AttemptResult(Enum):
+    """How a server's part in an attempt ended."""
+
+    SERVED = "served"
+    ERROR = "error"
+    REJECTED = "rejected"
+    """The server said that the request has not run."""
+
+    ABANDONED = "abandoned"
+    """The connection closed before an answer was written."""
+
+
+class Lifecycle(Enum):
+    """A server's state in the endpoint list."""
+
+    SERVING = "SERVING"
+    DRAINING = "DRAINING"
+    DELETED = "DELETED"
+
+
+@dataclass(frozen=True, slots=True)
+class HistoryEvent:
+    """Something that happened; at is in monotonic seconds."""
+
+    at: float
+
+
+@dataclass(frozen=True, slots=True)
+class RequestSent(HistoryEvent):
+    """A client wrote the last byte of a request.
+
+    Attributes:
+        request_id: the id that it carries.
+        node: the node's name.
+        incarnation: which of the node's processes accepted the connection.
+        class_name: its class.
+        deadline_s: how long the client waits.
+        resent: it was sent before, on a connection that closed without reading it.
+    """
+
+    request_id: str
+    node: str
+    incarnation: int
+    class_name: str
+    deadline_s: float
+    resent: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class ClientLeft(HistoryEvent):
+    """A client closed its connection while it waited for a response."""
+
+    request_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class ResponseReceived(HistoryEvent):
+    """A client read the last byte of a response; retry_after_s is None without that header."""
+
+    request_id: str
+    status: int
+    body: bytes
+    retry_after_s: float | None
+
+
+@dataclass(frozen=True, slots=True)
+class ResponseMissing(HistoryEvent):
+    """A client's wait ended without a complete response.
+
+    Attributes:
+        request_id: the request that was waited for.
+        closed: the node ended the connection; else nothing came until the client gave up.
+        unread_allowed: the connection was idle, or the table was full, so that it may have closed unread.
+    """
+
+    request_id: str
+    closed: bool
+    unread_allowed: bool
+
+
+@dataclass(frozen=True, slots=True)
+class IncompleteRequestStopped(HistoryEvent):
+    """A faulty client stopped within a request, and keeps its connection."""
+
+    client: int
+    node: str
+    incarnation: int
+
+
+@dataclass(frozen=True, slots=True)
+class IncompleteRequestReleased(HistoryEvent):
+    """The faulty client got an error response, or its connection was closed."""
+
+    client: int
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptReceived(HistoryEvent):
+    """A server read the last byte of an attempt.
+
+    Attributes:
+        first_byte_at: when its first byte came.
+        server: the server's id.
+        connection: the server's number for the connection.
+        host: the Host header, which names the node's listening address.
+        request_id: the id that it carries.
+        deadline_told_s: the time that the node says it will wait; None where it says nothing valid.
+    """
+
+    first_byte_at: float
+    server: str
+    connection: int
+    host: str
+    request_id: str
+    deadline_told_s: float | None
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptDone(HistoryEvent):
+    """A server's part in an attempt ended; an attempt that is never done holds its connection to the end."""
+
+    server: str
+    connection: int
+    request_id: str
+    result: AttemptResult
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointNotified(HistoryEvent):
+    """From here on a node counts as notified of a server's state, as of a generation of the list."""
+
+    node: str
+    server: str
+    lifecycle: Lifecycle
+    generation: int
+
+
+@dataclass(frozen=True, slots=True)
+class ServerStarted(HistoryEvent):
+    """A process of a server came up; a cold one warms up from here on."""
+
+    server: str
+    cold: bool
+
+
+@dataclass(frozen=True, slots=True)
+class NodeStarted(HistoryEvent):
+    """A node's process was started; address is its listening address."""
+
+    node: str
+    incarnation: int
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class NodeReady(HistoryEvent):
+    """GET /ready was answered 200 for the first time since the start."""
+
+    node: str
+    incarnation: int
+
+
+@dataclass(frozen=True, slots=True)
+class NodeSignalled(HistoryEvent):
+    """A signal was sent to a node."""
+
+    node: str
+    incarnation: int
+    signal: int
+
+
+@dataclass(frozen=True, slots=True)
+class NodeExited(HistoryEvent):
+    """A node's process has ended; a negative code is the signal that ended it."""
+
+    node: str
+    incarnation: int
+    code: int
+
+
+@dataclass(frozen=True, slots=True)
+class NodeLogged(HistoryEvent):
+    """A node wrote a line to its log."""
+
+    node: str
+    incarnation: int
+    line: str
+
+
+@dataclass(frozen=True, slots=True)
+class NodeMeasured(HistoryEvent):
+    """The descriptors and the resident memory of a node."""
+
+    node: str
+    incarnation: int
+    descriptors: int
+    memory_kb: int
+
+
+@dataclass(frozen=True, slots=True)
+class FaultBegan(HistoryEvent):
+    """A fault of the schedule began; index is its place there."""
+
+    index: int
+    kind: str
+    target: str
+
+
+@dataclass(frozen=True, slots=True)
+class FaultEnded(HistoryEvent):
+    """A fault ended; fired counts what it has done, None where that cannot be counted."""
+
+    index: int
+    kind: str
+    target: str
+    fired: int | None
+
+
+@dataclass(slots=True)
+class History:
+    """The events of one play, in the order in which they were recorded."""
+
+    events: list[HistoryEvent] = field(default_factory=list)
+
+    @staticmethod
+    def now() -> float:
+        """Monotonic seconds, the clock of every event."""
+        return time.monotonic()
+
+    def add(self, event: HistoryEvent) -> None:
+        """Record an event."""
+        self.events.append(event)
+
+    def of(self, kind: type[EventType]) -> list[EventType]:
+        """All events of one type."""
+        return [event for event in self.events if isinstance(event, kind)]
--- /dev/null
+++ b/fault_soak/http.py
@@ -0,0 +1,45 @@
+"""The little HTTP/1.1 that the stubs speak."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+
+MAX_HEAD_BYTES = 64 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class Message:
+    """A message as it was read; first_byte_at is in monotonic seconds."""
+
+    start_line: str
+    headers: dict[str, str]
+    body: bytes
+    first_byte_at: float
+
+    @property
+    def status(self) -> int:
+        """The status code of a response."""
+        return int(self.start_line.split(" ")[1])
+
+    @property
+    def target(self) -> str:
+        """The target of a request."""
+        return self.start_line.split(" ")[1]
+
+
+async def read_message(reader: asyncio.StreamReader, now: float | None = None) -> Message:
+    """Read a message whose length is given; asyncio.IncompleteReadError where the input ends before."""
+    first = await reader.readexactly(1)
+    first_byte_at = asyncio.get_running_loop().time() if now is None else now
+    head = (first + await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    start_line, *lines = head.rstrip("\r\n").split("\r\n")
+    pairs = (line.split(":", 1) for line in lines)
+    headers = {name.lower(): value.strip() for name, value in pairs}
+    body = await reader.readexactly(int(headers.get("content-length", "0")))
+    return Message(start_line, headers, body, first_byte_at)
+
+
+def render(status: str, body: bytes = b"", extra: str = "") -> bytes:
+    """A response with its length."""
+    return f"HTTP/1.1 {status}\r\nContent-Length: {len(body)}\r\n{extra}\r\n".encode() + body
--- /dev/null
+++ b/fault_soak/mutations.py
@@ -0,0 +1,225 @@
+"""Guards of the node that the soak breaks in a scratch copy, one at a time, to prove that it notices."""
+
+from __future__ import annotations
+
+import shutil
+import tempfile
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+from pathlib import Path
+
+from fault_soak.oracle import Rule
+
+
+@dataclass(frozen=True, slots=True)
+class Edit:
+    """A piece of source that is replaced; path is relative to the checkout."""
+
+    path: str
+    old: str
+    new: str
+
+
+@dataclass(frozen=True, slots=True)
+class Mutation:
+    """A guard that is broken, and the rules by which that may show."""
+
+    name: str
+    rules: frozenset[Rule]
+    edits: tuple[Edit, ...]
+
+
+class MutationError(Exception):
+    """The source that a mutation replaces is not there any more: the mutation has to follow the code."""
+
+
+SERVER = "load_balancer/proxy/server.py"
+LIFECYCLE = "load_balancer/proxy/lifecycle.py"
+SELECTION = "load_balancer/policy/selection.py"
+SLOW_START = "load_balancer/policy/slow_start.py"
+DESCRIPTORS = "load_balancer/proxy/descriptors.py"
+EVENTS = "load_balancer/events.py"
+
+MUTATIONS = (
+    Mutation(
+        "client may have left",
+        frozenset({Rule.CLIENT_GONE}),
+        (
+            Edit(SERVER, "request is None or request.slot.client_has_left()", "request is None"),
+            Edit(SERVER, "return not slot.client_has_left()", "return True"),
+            Edit(SERVER, "slot.on_abandoned = lambda: self._abandon(request_id)", "pass"),
+        ),
+    ),
+    Mutation(
+        "send after a drain",
+        frozenset({Rule.DRAIN}),
+        (
+            Edit(
+                "load_balancer/proxy/endpoint_listing.py",
+                '"DRAINING": EndpointState.DRAINING',
+                '"DRAINING": EndpointState.SERVING',
+            ),
+        ),
+    ),
+    Mutation(
+        "repeat what must run once",
+        frozenset({Rule.DUPLICATE}),
+        (
+            Edit(
+                SELECTION,
+                "return request_class.idempotency is Idempotency.IDEMPOTENT",
+                "return True",
+            ),
+        ),
+    ),
+    Mutation(
+        "a reset counts as not run",
+        frozenset({Rule.DUPLICATE, Rule.REFUSED_AFTER_RUN}),
+        (
+            Edit(
+                EVENTS, "Outcome.CONNECT_FAILED, Outcome.NOT_SENT}", "Outcome.CONNECT_FAILED, Outcome.RESET}"
+            ),
+        ),
+    ),
+    Mutation(
+        "window not checked",
+        frozenset({Rule.DUPLICATE}),
+        (Edit(SELECTION, "if latest >= first.sent_at", "if False and latest >= first.sent_at"),),
+    ),
+    Mutation(
+        "times on the wall clock",
+        frozenset({Rule.DUPLICATE, Rule.LOST, Rule.DEADLINE_TOLD, Rule.INTERNAL}),
+        (
+            Edit(
+                "load_balancer/proxy/clock.py",
+                "return 1000.0 * (self._offset_s + time.monotonic())",
+                "return 1000.0 * time.time()",
+            ),
+        ),
+    ),
+    Mutation(
+        "group of a key not checked",
+        frozenset({Rule.DUPLICATE}),
+        (
+            Edit(
+                SELECTION,
+                "if scope is DeduplicationScope.ZONE:\n",
+                "if True:\n        return True\n    if True:\n",
+            ),
+        ),
+    ),
+    Mutation(
+        "open requests left at SIGTERM",
+        frozenset({Rule.LOST}),
+        (Edit(LIFECYCLE, "if not self._downstream.is_busy() and now", "if now"),),
+    ),
+    Mutation(
+        "hedge where forbidden",
+        frozenset({Rule.HEDGED}),
+        (
+            Edit(SELECTION, "if request.in_flight and not settings.hedging_allowed:", "if False:"),
+            Edit("load_balancer/policy/balancer.py", "if not self.settings.hedging_allowed:", "if False:"),
+        ),
+    ),
+    Mutation(
+        "reject after a run",
+        frozenset({Rule.REFUSED_AFTER_RUN}),
+        (
+            Edit(
+                "load_balancer/policy/retries.py",
+                "if not request.repeatable_anywhere() and request.first_possible_run() is not None:",
+                "if False:",
+            ),
+        ),
+    ),
+    Mutation(
+        "tell the whole deadline",
+        frozenset({Rule.DEADLINE_TOLD}),
+        (
+            Edit(
+                SERVER,
+                'X-Deadline: %.3f\\r\\n\\r\\n%s" % (head, remaining_s, body)',
+                'X-Deadline: %.3f\\r\\n\\r\\n%s" % (head, remaining_s + 0.4, body)',
+            ),
+        ),
+    ),
+    Mutation(
+        "no Retry-After",
+        frozenset({Rule.RETRY_AFTER}),
+        (Edit(SERVER, 'if retry_after_ms else b""', 'if False else b""'),),
+    ),
+    Mutation(
+        "reuse with unread input",
+        frozenset({Rule.WRONG_BODY}),
+        (
+            Edit("load_balancer/proxy/endpoint_pool.py", "REUSE_DELAY_S = 0.02", "REUSE_DELAY_S = 0.0"),
+            Edit(
+                "load_balancer/proxy/upstream_connection.py",
+                "        if self._request is None:\n            self.abort()",
+                "        if False:\n            self.abort()",
+            ),
+            Edit("load_balancer/proxy/endpoint_pool.py", " and connection.has_no_unread_input()", ""),
+            Edit("load_balancer/proxy/upstream_connection.py", " and not self._reader.surplus", ""),
+        ),
+    ),
+    Mutation(
+        "attempts not limited",
+        frozenset({Rule.ATTEMPT_LIMIT}),
+        (
+            Edit(SELECTION, "and len(request.attempts) < context.settings.max_attempts", ""),
+            Edit(
+                "load_balancer/policy/retries.py",
+                "or len(request.attempts) >= self._context.settings.max_attempts",
+                "",
+            ),
+            Edit(
+                "load_balancer/policy/retries.py",
+                "and len(request.attempts) < self._context.settings.max_attempts",
+                "",
+            ),
+        ),
+    ),
+    Mutation(
+        "no slow start",
+        frozenset({Rule.SLOW_START}),
+        (
+            Edit(
+                "load_balancer/policy/slow_start.py",
+                "return record.slow_start_tokens >= min(work, most)",
+                "return True",
+            ),
+        ),
+    ),
+    Mutation(
+        "descriptors not divided",
+        frozenset({Rule.DESCRIPTORS, Rule.LOST, Rule.CLOSED_UNREAD, Rule.INTERNAL}),
+        (
+            Edit(
+                "load_balancer/proxy/descriptors.py",
+                "RESERVED_DESCRIPTORS = 28",
+                "RESERVED_DESCRIPTORS = -500",
+            ),
+        ),
+    ),
+)
+
+
+@contextmanager
+def mutated_tree(root: Path, mutation: Mutation) -> Iterator[Path]:
+    """A scratch copy of the checkout with one guard broken."""
+    with tempfile.TemporaryDirectory(prefix="fault-soak-mutation-") as name:
+        tree = Path(name)
+        for part in ("load_balancer", "deploy"):
+            shutil.copytree(root / part, tree / part, ignore=shutil.ignore_patterns("__pycache__"))
+        (tree / ".venv").symlink_to(root / ".venv")
+        for edit in mutation.edits:
+            _apply(tree / edit.path, edit)
+        yield tree
+
+
+def _apply(path: Path, edit: Edit) -> None:
+    text = path.read_text()
+    if text.count(edit.old) < 1:
+        raise MutationError(f"{edit.path} has no {edit.old!r}")
+    path.write_text(text.replace(edit.old, edit.new))
--- /dev/null
+++ b/fault_soak/proxy.py
@@ -0,0 +1,176 @@
+"""A TCP proxy between the nodes and one server, which fails in ways that networks fail."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import struct
+from enum import Enum
+
+HOST = "127.0.0.1"
+BACKLOG = 128
+PIECE = 65536
+
+
+class LinkState(Enum):
+    """What the proxy does with what comes."""
+
+    PASS = "pass"
+    SILENT = "silent"
+    """Nothing passes either way; connections still come up, as with a server that is stopped."""
+
+    LATE = "late"
+    """Connections come up only when the state ends; those that are up pass on."""
+
+    RESET_REQUEST = "reset-request"
+    """The first bytes of a request reset its connection, and do not reach the server."""
+
+    RESET_RESPONSE = "reset-response"
+    """The first bytes of a response reset its connection; the server has run the request."""
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Close a connection so that its other end sees a reset."""
+    connection = writer.get_extra_info("socket")
+    if connection is not None and not writer.transport.is_closing():
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
+class FaultProxy:
+    """Listens where discovery says that the server is, and relays to where it really is."""
+
+    def __init__(self, server_port: int) -> None:
+        self.state = LinkState.PASS
+        self.fired = 0
+        self.port = 0
+        self._server_port = server_port
+        self._loop = asyncio.get_running_loop()
+        self._listener = socket.socket()
+        self._fillers: list[socket.socket] = []
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._passing = asyncio.Event()
+        self._passing.set()
+        self._accepting = False
+
+    def open(self) -> None:
+        """Begin to listen, at the same port as before if there was one."""
+        self._listener = socket.socket()
+        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._listener.bind((HOST, self.port))
+        self._listener.setblocking(False)
+        self._listener.listen(BACKLOG)
+        self.port = self._listener.getsockname()[1]
+        self._accept_on()
+
+    def close(self) -> None:
+        """Refuse connections from now on, and reset those that are open."""
+        self._accept_off()
+        self._listener.close()
+        self._close_fillers()
+        for writer in list(self._writers):
+            reset(writer)
+        for task in list(self._tasks):
+            task.cancel()
+
+    def set_state(self, state: LinkState) -> None:
+        """Change what happens; leaving SILENT resets what was held up, as a network does that returns."""
+        previous, self.state = self.state, state
+        if previous is LinkState.SILENT:
+            for writer in list(self._writers):
+                reset(writer)
+        if previous is LinkState.LATE:
+            self._listener.listen(BACKLOG)
+            self._close_fillers()
+            self._accept_on()
+        if state is LinkState.LATE:
+            self._fill_backlog()
+        if state is LinkState.SILENT:
+            self._passing.clear()
+        else:
+            self._passing.set()
+
+    def _fill_backlog(self) -> None:
+        """The kernel drops the handshakes of those that come behind a full backlog."""
+        self._accept_off()
+        self._listener.listen(0)
+        for _ in range(3):
+            filler = socket.socket()
+            filler.setblocking(False)
+            with contextlib.suppress(BlockingIOError):
+                filler.connect((HOST, self.port))
+            self._fillers.append(filler)
+
+    def _close_fillers(self) -> None:
+        for filler in self._fillers:
+            filler.close()
+        self._fillers.clear()
+
+    def _accept_on(self) -> None:
+        if not self._accepting:
+            self._accepting = True
+            self._loop.add_reader(self._listener.fileno(), self._accept)
+
+    def _accept_off(self) -> None:
+        if self._accepting:
+            self._accepting = False
+            self._loop.remove_reader(self._listener.fileno())
+
+    def _accept(self) -> None:
+        with contextlib.suppress(BlockingIOError, ConnectionError):
+            connection, _ = self._listener.accept()
+            connection.setblocking(False)
+            task = self._loop.create_task(self._relay(connection))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _relay(self, connection: socket.socket) -> None:
+        try:
+            node_reader, node_writer = await asyncio.open_connection(sock=connection)
+        except OSError:
+            connection.close()
+            return
+        self._writers.add(node_writer)
+        try:
+            server_reader, server_writer = await asyncio.open_connection(HOST, self._server_port)
+        except OSError:
+            reset(node_writer)
+            self._writers.discard(node_writer)
+            return
+        self._writers.add(server_writer)
+        try:
+            await asyncio.gather(
+                self._copy(node_reader, server_writer, node_writer, LinkState.RESET_REQUEST),
+                self._copy(server_reader, node_writer, node_writer, LinkState.RESET_RESPONSE),
+            )
+        finally:
+            for writer in (node_writer, server_writer):
+                self._writers.discard(writer)
+                writer.close()
+
+    async def _copy(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        node_writer: asyncio.StreamWriter,
+        resets: LinkState,
+    ) -> None:
+        try:
+            while data := await reader.read(PIECE):
+                if self.state is LinkState.SILENT:
+                    self.fired += 1
+                    await self._passing.wait()
+                    return  # what was held up is lost
+                if self.state is resets:
+                    self.fired += 1
+                    reset(node_writer)
+                    break
+                writer.write(data)
+        except ConnectionError:
+            reset(writer)  # a reset is passed on as one
+            return
+        if self.state is LinkState.SILENT:
+            await self._passing.wait()
+        writer.close()
--- /dev/null
+++ b/fault_soak/servers.py
@@ -0,0 +1,261 @@
+"""Stub servers: work that takes time, a waiting room, drains, restarts, and what goes wrong in servers."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import hashlib
+import itertools
+import json
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum, auto
+
+from fault_soak.history import AttemptDone, AttemptReceived, AttemptResult, History, ServerStarted
+from fault_soak.http import Message, read_message, render
+from fault_soak.proxy import HOST, FaultProxy, LinkState, reset
+
+QUEUE_PER_SLOT = 8
+NOT_RUN = "X-Not-Run: 1\r\n"
+SERVED_BODY_BYTES = 24
+CONNECTION_ENDED = (
+    asyncio.IncompleteReadError,
+    asyncio.LimitOverrunError,
+    asyncio.CancelledError,
+    ConnectionError,
+)
+
+
+class Misbehaviour(Enum):
+    """How a server fails, beside its network."""
+
+    NONE = auto()
+    HANG = auto()
+    ERRORS = auto()
+    GARBLE = auto()
+    IDLE_CLOSE = auto()
+
+
+@dataclass(frozen=True, slots=True)
+class ServerLoad:
+    """What a request costs a server.
+
+    Attributes:
+        work_s: the mean service time.
+        slots: requests that are worked on at once.
+        idle_s: after how long an idle connection is closed.
+    """
+
+    work_s: float
+    slots: int
+    idle_s: float
+
+
+def served_body(server: str, request_id: str) -> bytes:
+    """The one body that a server answers a request with."""
+    digest = hashlib.sha256(f"{server}/{request_id}".encode()).hexdigest()
+    return f"{server}:{digest[:SERVED_BODY_BYTES]}".encode()
+
+
+class StubServer:
+    """One server behind its own fault proxy; a restart is a new process of it."""
+
+    _connections = itertools.count(1)
+
+    def __init__(
+        self, name: str, zone: str, cell: int, load: ServerLoad, history: History, seed: int
+    ) -> None:
+        self.name = name
+        self.zone = zone
+        self.cell = cell
+        self.machine_type = "m1" if cell % 2 == 0 else "m2"
+        self.started_unix_ms = 0.0
+        self.draining = False
+        self.misbehaviour = Misbehaviour.NONE
+        self.fired = 0
+        self.up = False
+        self.proxy: FaultProxy | None = None
+        self._load = load
+        self._history = history
+        self._rng = random.Random(seed)
+        self._slots = asyncio.Semaphore(load.slots)
+        self._waiting = 0
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self, *, started_unix_ms: float) -> None:
+        """Bring a process up; 0 as the time of its start means long ago."""
+        self.started_unix_ms = started_unix_ms
+        self.draining = False
+        self._slots = asyncio.Semaphore(self._load.slots)
+        self._waiting = 0
+        self._server = await asyncio.start_server(self._serve, HOST, 0)
+        port = self._server.sockets[0].getsockname()[1]
+        address = 0 if self.proxy is None else self.proxy.port
+        self.proxy = FaultProxy(port)
+        self.proxy.port = address
+        self.proxy.open()
+        self.up = True
+        self._history.add(ServerStarted(History.now(), self.name, cold=started_unix_ms > 0))
+
+    def crash(self) -> None:
+        """The process dies: its connections are reset, new ones are refused."""
+        if not self.up:
+            return
+        self.up = False
+        assert self.proxy is not None and self._server is not None
+        self.proxy.close()
+        self._server.close()
+        for writer in list(self._writers):
+            reset(writer)
+
+    def set_link(self, state: LinkState) -> None:
+        """Change the state of the network before it."""
+        if self.up and self.proxy is not None:
+            self.proxy.set_state(state)
+
+    @property
+    def row(self) -> dict[str, object]:
+        """Its row in the endpoint list."""
+        assert self.proxy is not None
+        return {
+            "instanceId": self.name,
+            "hostPort": f"{HOST}:{self.proxy.port}",
+            "zone": self.zone,
+            "machineType": self.machine_type,
+            "cell": self.cell,
+            "lifecycle": "DRAINING" if self.draining else "SERVING",
+            "weight": 1.0,
+            "startedAtMs": int(self.started_unix_ms),
+        }
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        connection = next(self._connections)
+        self._writers.add(writer)
+        try:
+            with contextlib.suppress(*CONNECTION_ENDED):
+                while await self._serve_one(connection, reader, writer):
+                    pass
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _serve_one(
+        self, connection: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        """Serve one request; returns whether the connection is kept."""
+        idle_s = self._load.idle_s
+        if self.misbehaviour is Misbehaviour.IDLE_CLOSE:
+            idle_s = self._rng.choice((0.0, 0.03, 0.1, 0.3))
+        try:
+            message = await asyncio.wait_for(read_message(reader), idle_s + 0.001)
+        except TimeoutError:
+            self.fired += self.misbehaviour is Misbehaviour.IDLE_CLOSE
+            return False
+        if message.target in ("/health", "/status/load"):
+            if self.misbehaviour is Misbehaviour.HANG:
+                return await self._hang(reader)
+            writer.write(render("503 Unavailable" if self.draining else "200 OK"))
+            return True
+        request_id = message.headers.get("x-request-id", "")
+        self._record_attempt(connection, message, request_id)
+        return await self._respond(connection, request_id, reader, writer)
+
+    def _record_attempt(self, connection: int, message: Message, request_id: str) -> None:
+        try:
+            told = float(message.headers["x-deadline"])
+        except (KeyError, ValueError):
+            told = None
+        host = message.headers.get("host", "")
+        now = History.now()
+        first_byte_at = min(now, message.first_byte_at)
+        self._history.add(AttemptReceived(now, first_byte_at, self.name, connection, host, request_id, told))
+
+    async def _respond(
+        self, connection: int, request_id: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        def done(result: AttemptResult) -> None:
+            self._history.add(AttemptDone(History.now(), self.name, connection, request_id, result))
+
+        if self.draining or self._waiting >= QUEUE_PER_SLOT * self._load.slots:
+            done(AttemptResult.REJECTED)
+            writer.write(render("503 Unavailable", extra=NOT_RUN))
+            return True
+        if self.misbehaviour is Misbehaviour.HANG:
+            self.fired += 1
+            await self._hang(reader)
+            done(AttemptResult.ABANDONED)
+            return False
+        work = self._loop_work()
+        closed = asyncio.ensure_future(reader.read(1))
+        try:
+            await asyncio.wait((work, closed), return_when=asyncio.FIRST_COMPLETED)
+            if not work.done():
+                done(AttemptResult.ABANDONED)
+                return False
+        finally:
+            work.cancel()
+            closed.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await closed
+        return self._answer(request_id, writer, done)
+
+    def _loop_work(self) -> asyncio.Future[None]:
+        return asyncio.ensure_future(self._work())
+
+    async def _work(self) -> None:
+        self._waiting += 1
+        try:
+            async with self._slots:
+                await asyncio.sleep(self._rng.lognormvariate(0.0, 0.6) * self._load.work_s)
+        finally:
+            self._waiting -= 1
+
+    def _answer(
+        self, request_id: str, writer: asyncio.StreamWriter, done: Callable[[AttemptResult], None]
+    ) -> bool:
+        body = served_body(self.name, request_id)
+        if self.misbehaviour is Misbehaviour.ERRORS and self._rng.random() < 0.7:
+            self.fired += 1
+            done(AttemptResult.ERROR)
+            writer.write(render("500 Error", b"broken"))
+            return True
+        if self.misbehaviour is Misbehaviour.GARBLE and self._rng.random() < 0.6:
+            self.fired += 1
+            done(AttemptResult.SERVED)
+            return self._garble(body, writer)
+        done(AttemptResult.SERVED)
+        report = json.dumps({"inflight": self._waiting})
+        writer.write(render("200 OK", body, f"X-Load: {report}\r\n"))
+        return True
+
+    def _garble(self, body: bytes, writer: asyncio.StreamWriter) -> bool:
+        whole = render("200 OK", body)
+        form = self._rng.randrange(6)
+        if form == 0:  # cut off
+            writer.write(whole[: self._rng.randrange(len(whole))])
+            return False
+        if form == 1:  # no HTTP
+            writer.write(b"\x16\x03\x01 not a response\r\n\r\n")
+            return False
+        if form == 2:  # a second answer, some milliseconds late
+            writer.write(whole)
+            delay_s = self._rng.choice((0.0, 0.002, 0.005))
+            second = render("200 OK", b"stale:" + body)
+            asyncio.get_running_loop().call_later(delay_s, writer.write, second)
+            return True
+        if form == 3:  # no length, ended by a reset
+            writer.write(b"HTTP/1.1 200 OK\r\n\r\n" + body[:5])
+            asyncio.get_running_loop().call_later(0.002, reset, writer)
+            return True
+        if form == 4:  # no length, complete
+            writer.write(b"HTTP/1.1 200 OK\r\n\r\n" + body)
+            return False
+        writer.write(whole[:-1])  # never ends
+        return True
+
+    async def _hang(self, reader: asyncio.StreamReader) -> bool:
+        with contextlib.suppress(ConnectionError):
+            await reader.read(1)
+        return False
