--- a/tests/proxy/test_lifecycle.py
+++ b/tests/proxy/test_lifecycle.py
@@ -16,6 +16,8 @@
     EndpointListUpdate,
 )
 from load_balancer.proxy import lifecycle
+from load_balancer.proxy.configuration import load_configuration
+from load_balancer.proxy.server import Node
 from tests.proxy.fakes import (
     HOST,
     PATIENCE_S,
@@ -27,6 +29,7 @@
     reply,
     request,
     row,
+    settings,
     silent,
     tell,
     until,
@@ -122,6 +125,37 @@
         assert w.endpoint_discovery.watch is not None
 
 
+@async_test
+async def test_configuration_replaced_between_its_reading_and_the_start_is_followed(tmp_path: Path) -> None:
+    """The signal of that came before it could be handled."""
+    path = tmp_path / "config.json"
+    async with StubDiscovery() as old, StubDiscovery() as moved:
+        limits = {"memory_mb": 192, "sockets": 256}
+        content = {"name": "n0", "seed": "1", "limits": limits, "settings": settings(registryMode="pushed")}
+        path.write_text(json.dumps({**content, "discovery": old.address}))
+        environment = {"NODE_CONFIG": str(path), "NODE_LISTEN": f"{HOST}:0", "NODE_DISCOVERY": old.address}
+        node = Node(load_configuration(environment))
+        path.write_text(json.dumps({**content, "discovery": moved.address}))
+        await node.start()
+        try:
+            await moved.watch()
+        finally:
+            node.stop()
+
+
+@async_test
+async def test_reload_of_half_written_configuration_is_tried_again(tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    async with StubServer([reply("200 OK")]) as endpoint, StubDiscovery() as moved:
+        text = json.dumps({"discovery": moved.address})
+        async with world(row("a", endpoint.address), path=str(path)) as w:
+            await w.discovery.watch()
+            path.write_text(text[:-2])
+            w.node.reload()
+            path.write_text(text)  # and no other signal
+            await moved.watch()
+
+
 @pytest.mark.parametrize("text", ["", "{", "[]", '{"discovery": "nowhere"}', '{"discovery": 5}', "{}"])
 @async_test
 async def test_unreadable_configuration_at_reload_is_ignored(
--- a/tests/test_main.py
+++ b/tests/test_main.py
@@ -235,6 +235,46 @@
         assert process.returncode == 0
 
 
+_WAIT_IN_INTERPRETER_START = """
+import os
+if os.environ.get("NODE_START_GATE"):
+    open(os.environ["NODE_START_GATE"]).close()
+"""
+"""A sitecustomize module: the interpreter waits in its own start until the gate, a named pipe, is opened."""
+
+
+@async_test
+async def test_sighup_while_process_starts_is_followed(tmp_path: Path) -> None:
+    """A new configuration arrives before the first line of the node's own code has run."""
+    gate = tmp_path / "gate"
+    os.mkfifo(gate)
+    (tmp_path / "sitecustomize.py").write_text(_WAIT_IN_INTERPRETER_START)
+    async with (
+        StubServer([reply("200 OK")]) as endpoint,
+        StubDiscovery() as old,
+        StubDiscovery() as moved,
+    ):
+        known = listing(1, row("a", endpoint.address))
+        parts = {"known": known, "settings": settings(registryMode="pushed")}
+        config, content = _write_configuration(tmp_path, sockets=256, discovery=old.address, **parts)
+        process = await _start(
+            {
+                "NODE_NAME": "n0",
+                "NODE_LISTEN": f"{HOST}:0",
+                "NODE_DISCOVERY": old.address,
+                "NODE_CONFIG": str(config),
+                "NODE_START_GATE": str(gate),
+                "PYTHONPATH": str(tmp_path),
+            }
+        )
+        opened = await asyncio.to_thread(os.open, gate, os.O_WRONLY)  # returns once the interpreter waits
+        config.write_text(json.dumps({**content, "discovery": moved.address}))
+        process.send_signal(signal.SIGHUP)
+        os.close(opened)
+        await moved.watch()
+        await _terminate(process)
+
+
 @async_test
 async def test_bad_configuration_is_one_line_and_exit_code_2(tmp_path: Path) -> None:
     config = tmp_path / "config.json"
