Follow a SIGHUP that comes while a node starts, and read a half-written file again

All of one class: a signal was taken as an event to handle when it comes, not as the state that it announces.

--- a/load_balancer/proxy/configuration.py
+++ b/load_balancer/proxy/configuration.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import errno
 import json
+import os
+import time
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 from typing import Any, TypeVar
@@ -20,6 +23,8 @@
 _MIN_SOCKETS = 16
 _MIN_MEMORY_MB = 1
 _SEED_MASK = 2**64 - 1
+_START_RETRY_S = (0.05, 0.1, 0.2, 0.4)
+_TRANSIENT_ERRORS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.EIO, errno.EAGAIN})
 
 
 class ConfigurationError(Exception):
@@ -54,6 +59,15 @@
     sockets: int
 
 
+@dataclass(frozen=True, slots=True)
+class FileStamp:
+    """Identifies one content of a file; another one has another stamp."""
+
+    inode: int
+    size: int
+    modified_ns: int
+
+
 @dataclass(frozen=True, slots=True)
 class NodeConfiguration:
     """Everything that a node knows when it starts.
@@ -69,6 +83,8 @@
         listing_reader: reads endpoint lists with the names that the settings define.
         cached_listing: the endpoint list that was in force when the file was written, if there was one.
         connection_idle_ms: after how many idle milliseconds endpoints close a connection.
+        file_discovery: where discovery listens by the file, None where that names no address.
+        file_stamp: identifies the content of the file as it was read.
     """
 
     path: str
@@ -81,6 +97,8 @@
     listing_reader: ListingReader
     cached_listing: EndpointListing | None
     connection_idle_ms: float
+    file_discovery: Address | None = None
+    file_stamp: FileStamp | None = None
 
 
 def load_configuration(environment: Mapping[str, str]) -> NodeConfiguration:
@@ -90,7 +108,8 @@
         ConfigurationError: something is missing, cannot be read or is out of range.
     """
     path = _read_variable(environment, "NODE_CONFIG")
-    raw = _read_file(path)
+    file_stamp = read_file_stamp(path)  # before the reading: what is written from here on is newer
+    raw = _read_file_with_retries(path)
     raw_settings = _read_member(raw, "settings", dict)
     setting_texts = dict(flatten_settings(raw_settings))
     settings = _read_settings(setting_texts)
@@ -110,9 +129,20 @@
         listing_reader=listing_reader,
         cached_listing=_read_cached_listing(raw.get("known"), listing_reader),
         connection_idle_ms=_read_connection_idle_ms(setting_texts),
+        file_discovery=_read_address({}, raw, "discovery", "discovery") if "discovery" in raw else None,
+        file_stamp=file_stamp,
     )
 
 
+def read_file_stamp(path: str) -> FileStamp | None:
+    """The stamp of a file as it is now, None where there is no such file."""
+    try:
+        status = os.stat(path)
+    except OSError:
+        return None
+    return FileStamp(status.st_ino, status.st_size, status.st_mtime_ns)
+
+
 def reload_discovery_address(path: str) -> Address:
     """Where discovery listens by the file as it stands now.
 
@@ -153,12 +183,32 @@
         with open(path, encoding="utf-8") as file:
             raw = json.load(file)
     except (OSError, ValueError, RecursionError) as error:
-        raise ConfigurationError.within("NODE_CONFIG", f"{path} cannot be read: {error}") from None
+        raise ConfigurationError.within("NODE_CONFIG", f"{path} cannot be read: {error}") from error
     if not isinstance(raw, dict):
         raise ConfigurationError.within("NODE_CONFIG", f"{path} holds no object")
     return raw
 
 
+def _read_file_with_retries(path: str) -> dict[str, Any]:
+    """Read the file; one that is half written, or cannot be opened for a moment, is read again."""
+    for delay_s in _START_RETRY_S:
+        try:
+            return _read_file(path)
+        except ConfigurationError as error:
+            if not _may_pass(error):
+                raise
+            time.sleep(delay_s)
+    return _read_file(path)
+
+
+def _may_pass(error: ConfigurationError) -> bool:
+    """Whether what made the file unreadable may be over in a moment."""
+    cause = error.__cause__
+    if isinstance(cause, OSError):
+        return cause.errno in _TRANSIENT_ERRORS
+    return isinstance(cause, ValueError)
+
+
 def _read_member(raw: Mapping[str, Any], name: str, kind: type[MemberType]) -> MemberType:
     value = raw.get(name)
     if not isinstance(value, kind):
--- a/load_balancer/proxy/lifecycle.py
+++ b/load_balancer/proxy/lifecycle.py
@@ -1,21 +1,17 @@
-"""A node's readiness, the reload of its configuration, and its graceful shutdown."""
+"""A node's signals, its readiness, and its graceful shutdown."""
 
 from __future__ import annotations
 
 import asyncio
-import logging
 import signal
 import time
 from collections.abc import Callable
 
-from load_balancer.proxy.configuration import ConfigurationError, reload_discovery_address
 from load_balancer.proxy.discovery import EndpointDiscovery
 from load_balancer.proxy.downstream import DownstreamServer
 from load_balancer.proxy.timers import TimerGroup
 from load_balancer.proxy.upstream import UpstreamPools
 
-log = logging.getLogger(__name__)
-
 # For the first word of an agent that pushes lists.  A process starts with a cached list that may be stale,
 # and what the agent has counts from the first moment on.  It answers at once, but not while discovery is
 # down: then the cached list has to do.
@@ -40,20 +36,6 @@
     loop.add_signal_handler(signal.SIGHUP, reload)
 
 
-def reload_discovery(path: str, discovery: EndpointDiscovery) -> None:
-    """Read the configuration file again and follow discovery to its address.
-
-    A file that cannot be used is logged, and changes nothing.
-    """
-    try:
-        address = reload_discovery_address(path)
-    except ConfigurationError as error:
-        log.error("configuration_reload_failed problem=%s", error)
-        return
-    log.info("configuration_reloaded discovery=%s:%d", *address)
-    discovery.move(address)
-
-
 class Readiness:
     """Whether the node can serve requests."""
 
--- /dev/null
+++ b/load_balancer/proxy/reload.py
@@ -0,0 +1,71 @@
+"""Follows discovery to the address in the configuration file, at SIGHUP and right after a start."""
+
+from __future__ import annotations
+
+import logging
+
+from load_balancer.proxy.configuration import (
+    ConfigurationError,
+    NodeConfiguration,
+    read_file_stamp,
+    reload_discovery_address,
+)
+from load_balancer.proxy.discovery import EndpointDiscovery
+from load_balancer.proxy.timers import TimerGroup
+
+log = logging.getLogger(__name__)
+
+# A file that is being written, or that cannot be opened for a moment, can be read a little later, and no
+# second signal announces that.
+FIRST_RETRY_S = 0.05
+MAX_RETRY_S = 1.0
+MAX_RETRIES = 12  # about 9 s in all
+
+
+class ConfigurationReload:
+    """Reads the configuration file again until that succeeds, or for some seconds."""
+
+    def __init__(self, config: NodeConfiguration, discovery: EndpointDiscovery) -> None:
+        self._config = config
+        self._discovery = discovery
+        self._timers = TimerGroup()
+
+    def after_start(self) -> None:
+        """Make up for a signal that came before it could be handled: to be called once it can be.
+
+        The environment names the address of the moment in which the process was started.  A file that names
+        another one, or that was replaced since it was read, is newer.
+        """
+        config = self._config
+        if read_file_stamp(config.path) != config.file_stamp:
+            self.request()
+        elif config.file_discovery is not None and config.file_discovery != config.discovery:
+            log.info("configuration_newer_than_environment discovery=%s:%d", *config.file_discovery)
+            self._discovery.move(config.file_discovery)
+
+    def request(self) -> None:
+        """SIGHUP: the file was replaced.  What was still to be read for an earlier signal is dropped."""
+        self._timers.cancel_all()
+        self._read(0)
+
+    def cancel(self) -> None:
+        """The node has stopped: nothing is read any more."""
+        self._timers.cancel_all()
+
+    def _read(self, retries: int) -> None:
+        try:
+            address = reload_discovery_address(self._config.path)
+        except ConfigurationError as error:
+            self._retry(retries, error)
+            return
+        log.info("configuration_reloaded discovery=%s:%d", *address)
+        self._discovery.move(address)
+
+    def _retry(self, retries: int, error: ConfigurationError) -> None:
+        if retries == 0:
+            log.error("configuration_reload_failed problem=%s", error)
+        if retries == MAX_RETRIES:
+            log.error("configuration_reload_abandoned retries=%d problem=%s", retries, error)
+            return
+        delay_s = min(MAX_RETRY_S, FIRST_RETRY_S * 2.0**retries)
+        self._timers.call_later(delay_s, self._read, retries + 1)
--- a/load_balancer/proxy/server.py
+++ b/load_balancer/proxy/server.py
@@ -48,8 +48,9 @@
 from load_balancer.proxy.http1 import HttpMessage, HttpMessageError
 from load_balancer.proxy.http1_render import render_request_head
 from load_balancer.proxy.http_headers import CONTENT_TYPE, REQUEST_ID
-from load_balancer.proxy.lifecycle import GracefulShutdown, Readiness, handle_signals, reload_discovery
+from load_balancer.proxy.lifecycle import GracefulShutdown, Readiness, handle_signals
 from load_balancer.proxy.loop_iterations import LoopIterations
+from load_balancer.proxy.reload import ConfigurationReload
 from load_balancer.proxy.request_parsing import ParsedRequest, RequestParser
 from load_balancer.proxy.request_table import Attempt, PendingRequest, RequestTable
 from load_balancer.proxy.response_slot import ResponseSlot
@@ -98,6 +99,7 @@
         )
         self._health_checker = HealthChecker(self._pools, self._clock, self._host, self.handle_event)
         self._discovery = self._create_discovery()
+        self._reload = ConfigurationReload(config, self._discovery)
         self._downstream = self._create_downstream(shares.downstream)
         self._shutdown = GracefulShutdown(
             self._downstream,
@@ -172,6 +174,7 @@
         if cached is not None:
             self._update_endpoints(cached, cached=True)
         self._discovery.start(cached.version if cached is not None else 0)
+        self._reload.after_start()
         host, port = await self._downstream.listen(self._config.listen)
         log.info("node_listening name=%s address=%s:%d", self._config.name, host, port)
         return host, port
@@ -189,12 +192,13 @@
 
     def reload(self) -> None:
         """SIGHUP: the configuration file was replaced; discovery may have moved."""
-        reload_discovery(self._config.path, self._discovery)
+        self._reload.request()
 
     def stop(self) -> None:
         """Stop now, whatever is open: nothing that would be accepted in this iteration is read any more."""
         self._shutdown.cancel()
         self._policy_timers.cancel_all()
+        self._reload.cancel()
         self._discovery.close()
         self._downstream.close()
         self._pools.close()
--- a/tests/proxy/test_configuration.py
+++ b/tests/proxy/test_configuration.py
@@ -44,6 +44,25 @@
     assert policy_settings.tenants[0].name == "acme"
 
 
+def test_half_written_file_is_read_again_at_a_start(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    environment = _environment(tmp_path, _configuration())
+    path = tmp_path / "config.json"
+    text = path.read_text()
+    path.write_text(text[:-20])
+    monkeypatch.setattr("time.sleep", lambda _: path.write_text(text))  # completed in the pause
+    assert load_configuration(environment).name == "n3"
+
+
+def test_file_that_stays_half_written_is_an_error(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    environment = _environment(tmp_path, _configuration())
+    (tmp_path / "config.json").write_text("{")
+    pauses: list[float] = []
+    monkeypatch.setattr("time.sleep", pauses.append)
+    with pytest.raises(ConfigurationError, match="cannot be read"):
+        load_configuration(environment)
+    assert sum(pauses) < 1.0
+
+
 def test_cached_list_is_read(tmp_path: Path) -> None:
     cached = load_configuration(_environment(tmp_path, _configuration())).cached_listing
     assert cached is not None
