--- a/tests/proxy/test_endpoint_pool.py
+++ b/tests/proxy/test_endpoint_pool.py
@@ -4,12 +4,23 @@
 
 import asyncio
 import os
+import socket
 import time
 
 import pytest
 
 from load_balancer.events import Outcome
-from tests.proxy.fakes import PATIENCE_S, StubServer, async_test, reply, silent, until
+from load_balancer.proxy.endpoint_pool import REUSE_DELAY_S
+from tests.proxy.fakes import (
+    PATIENCE_S,
+    Behaviour,
+    Received,
+    StubServer,
+    async_test,
+    reply,
+    silent,
+    until,
+)
 from tests.proxy.upstream_harness import upstream
 
 
@@ -29,6 +40,34 @@
         assert endpoint.opened == 2
 
 
+def _without_nodelay(*behaviours: Behaviour) -> Behaviour:
+    """Behave so where the system holds back small writes until the last one is acknowledged."""
+
+    async def behave(server: StubServer, received: Received, writer: asyncio.StreamWriter) -> None:
+        writer.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 0)
+        for behaviour in behaviours:
+            await behaviour(server, received, writer)
+            await asyncio.sleep(0)  # a write of its own
+
+    return behave
+
+
+@async_test
+async def test_surplus_that_the_system_holds_back_is_not_the_next_response() -> None:
+    """It leaves its sender with the acknowledgement of the response, at the latest with the next request."""
+    single = _without_nodelay(reply("200 OK", b"answer"))
+    doubled = _without_nodelay(reply("200 OK", b"answer"), reply("200 OK", b"surplus"))
+    exchanges = 8  # after a few of them the system acknowledges with the next data, or after 40 ms
+    behaviours = [*[single] * exchanges, doubled, single]
+    async with StubServer(behaviours) as endpoint, upstream(endpoint.address) as harness:
+        (pool,) = harness.pools.pools
+        loop = asyncio.get_running_loop()
+        for _ in range(exchanges + 2):
+            assert await harness.send() == (Outcome.OK, b"answer")
+            idle_since = pool.oldest_idle_since
+            await until(lambda since=idle_since: loop.time() - since > REUSE_DELAY_S + 0.001)  # type: ignore[misc]
+
+
 @async_test
 async def test_idle_connections_are_closed_before_endpoint_would_close_them() -> None:
     async with (
