--- a/load_balancer/proxy/upstream_connection.py
+++ b/load_balancer/proxy/upstream_connection.py
@@ -236,7 +236,6 @@
         if request is not None:
             request.end(_outcome_of(response), response)
 
-
     def _acknowledge(self) -> None:
         """Have the response acknowledged at once, not up to 40 ms later or with the next request.
 
--- a/tests/policy/test_slow_start.py
+++ b/tests/policy/test_slow_start.py
@@ -137,7 +137,17 @@
     No node sees what the others send.  With ``new_nodes`` the nodes, too, are new processes from then on.
     """
 
-    def __init__(self, nodes: int, multiple: float, new_nodes: bool, seed: int) -> None:
+    def __init__(
+        self,
+        nodes: int,
+        multiple: float,
+        new_nodes: bool,
+        seed: int,
+        *,
+        replaced: int = 6,
+        hinted: bool = True,
+    ) -> None:
+        self._hinted = hinted
         self.sent: list[SentWork] = []
         self._nodes = nodes
         self._multiple = multiple
@@ -146,7 +156,7 @@
         self._now = 0.0
         self._random = random.Random(seed)
         self._endpoints = [bytes([i]) for i in range(10)]
-        self._replaced = self._endpoints[-6:]
+        self._replaced = self._endpoints[-replaced:]
         self._balancers = [self._new_balancer(i) for i in range(nodes)]
         self._notified = [False] * nodes
         self._busy_until = dict.fromkeys(self._endpoints, 0.0)
@@ -182,10 +192,12 @@
 
     def _replace_servers(self, full_list: EndpointListUpdate) -> None:
         started = tuple(Endpoint(endpoint, started_ms=REPLACED_AT) for endpoint in self._replaced)
+        all_replaced = len(started) == len(self._endpoints)
+        first_list = EndpointListUpdate(EndpointListKind.FULL, started) if all_replaced else full_list
         for node in range(self._nodes):
             if self._new_nodes:
                 self._balancers[node] = self._new_balancer(node)
-                self._schedule(REPLACED_AT, node, full_list)
+                self._schedule(REPLACED_AT, node, first_list)
             notified_at = REPLACED_AT + self._random.random() * NOTIFIED_WITHIN_MS
             self._schedule(notified_at, node, EndpointListUpdate(EndpointListKind.DELTA, started))
 
@@ -199,10 +211,11 @@
         units = max(0.02, self._random.lognormvariate(-0.35, 0.83))
         request = next(self._request_numbers)
         self._open[node, request] = units, 0
-        self._handle(node, RequestArrived(request, 0, 2900.0, cost_hint_ms=10.0 * units))
+        hint_ms = 10.0 * units if self._hinted else None
+        self._handle(node, RequestArrived(request, 0, 2900.0, cost_hint_ms=hint_ms))
 
     def _handle(self, node: int, event: Event) -> None:
-        if isinstance(event, EndpointListUpdate) and event.kind is EndpointListKind.DELTA:
+        if isinstance(event, EndpointListUpdate) and any(e.started_ms for e in event.endpoints):
             self._notified[node] = True
         elif isinstance(event, AttemptEnded) and event.finished:
             self._open.pop((node, event.request_id), None)
@@ -268,6 +281,11 @@
         budget = self._multiple * capacity * WARM_UNITS_PER_S * span_ms / 1000.0
         return units / (budget + 2.0 * math.sqrt(budget) + 2.0)
 
+    def work_sent_after_replacement(self) -> float:
+        """The units that replaced servers got in the last second, as a part of what they could do."""
+        units = sum(sent.units for sent in self.sent if sent.at >= END_AT - 1000.0)
+        return units / (WARM_UNITS_PER_S * len(self._replaced) * self._capacity(END_AT - 500.0))
+
 
 @pytest.mark.parametrize("seed", [2, 8, 9])
 @pytest.mark.parametrize(
@@ -282,3 +300,13 @@
     fleet.run()
     assert any(sent.notified for sent in fleet.sent)
     assert fleet.worst_overload() <= 1.0
+
+
+@pytest.mark.parametrize(("nodes", "part"), [(4, 0.4), (30, 0.1), (230, 0.05)])
+def test_many_new_nodes_before_warming_endpoints_alone_keep_to_the_budget(nodes: int, part: float) -> None:
+    """All servers and all nodes have just started, and more comes in than warm servers would do."""
+    for seed in (2, 8, 9):
+        fleet = Fleet(nodes, 3.0, True, seed, replaced=10, hinted=False)
+        fleet.run()
+        assert fleet.worst_overload() <= 1.0
+        assert fleet.work_sent_after_replacement() >= part
