Send to warming endpoints also where a new node sees no warm one

Cause: a warming server gets a part of the flow that the node sends to warm ones; a node that has seen no answer has no flow, so its budget stays where it was drawn, under one request (SlowStart.admits). With every server cold and every node new, as after a power cut, or a quiet night and a restart of the tier, nothing was sent until the first server was warm, up to coldMs. Excluded: the list (it was there), readiness, ejection (nobody was ejected), the concurrency limit. Change: while no server is warm, all nodes together may send each one request an overload window, and an answer gives back what its attempt took. With a warm server in the list nothing changes.

--- a/load_balancer/policy/outcomes.py
+++ b/load_balancer/policy/outcomes.py
@@ -62,7 +62,7 @@
             objective = request.request_class.latency_objective_ms
         # Heavy work says little of its server or the load: what the cost hint foretold is half taken out.
         latency = elapsed / (0.5 + 0.5 * attempt.work)
-        self.slow_start.record_answer(attempt.work)
+        self.slow_start.record_answer(record, attempt.work)
         self.monitor.record_answer(latency)
         self.limit.record_ratio(elapsed / objective)
         self.automaton.learn(record.endpoint.id, latency)
--- a/load_balancer/policy/selection.py
+++ b/load_balancer/policy/selection.py
@@ -103,12 +103,14 @@
         allowed: list[int] = []
         kept_out = 0
         flow: float | None = None  # counted once, and only if a server warms up
+        least_rate = 0.0
         for i in permitted(self.context, request):
             record = records[i]
             fraction = slow_start.capacity_fraction(record)
             if fraction < 1.0:
-                flow = slow_start.flow_per_warm_server() if flow is None else flow
-                if not slow_start.admits(record, fraction, request.work, flow):
+                if flow is None:
+                    flow, least_rate = slow_start.flow_per_warm_server(), slow_start.least_rate()
+                if not slow_start.admits(record, fraction, request.work, flow, least_rate):
                     continue
             if admits_class(record.classes[class_index], now):
                 allowed.append(i)
--- a/load_balancer/policy/slow_start.py
+++ b/load_balancer/policy/slow_start.py
@@ -18,9 +18,16 @@
         # By the work answered: what is sent overloads servers when fewer of them are left.
         self._answered_work = FadingRate(settings.warm_up_ms or 1000.0, settings.overload_window_ms)
 
-    def record_answer(self, work: float) -> None:
-        """Count the work of an answered attempt."""
+    def record_answer(self, record: EndpointRecord, work: float) -> None:
+        """Count the work of an answered attempt, which a warming server may get again if all are warming."""
         self._answered_work.add(work, self._context.now)
+        if self.capacity_fraction(record) < 1.0 and self.all_warming():
+            record.slow_start_tokens += work
+
+    def all_warming(self) -> bool:
+        """Whether no endpoint that is not ejected is warm: then nothing tells what a warm one sustains."""
+        records = self._context.endpoints.drawable
+        return all(r.ejected or self.capacity_fraction(r) < 1.0 for r in records)
 
     def record_send(self, record: EndpointRecord, work: float) -> None:
         """Take the work of an attempt out of its server's budget."""
@@ -43,7 +50,21 @@
         """Work a millisecond that this node sends for each warm server's worth of capacity."""
         return self._answered_work.per_ms(self._context.now) / self.total_capacity()
 
-    def admits(self, record: EndpointRecord, fraction: float, work: float, flow: float) -> bool:
+    def least_rate(self) -> float:
+        """Work a millisecond that this node may send to any warming server: all nodes one request a window.
+
+        Zero while a warm server is there.  Where there is none a new node has seen no answer, its part of no
+        flow is nothing, and it would send nothing until the first server is warm.  Each answer gives back
+        what its attempt took, so that what all send then grows no faster than the servers answer.
+        """
+        settings = self._context.settings
+        if not self.all_warming():
+            return 0.0
+        return 1.0 / (max(1, settings.node_count) * settings.overload_window_ms)
+
+    def admits(
+        self, record: EndpointRecord, fraction: float, work: float, flow: float, least_rate: float
+    ) -> bool:
         """Whether a warming server may get an attempt: the rising part of a warm one's flow, with a margin.
 
         Every node does so alone; together they then send it its part of what warm servers sustain, which
@@ -51,6 +72,7 @@
         """
         now, settings = self._context.now, self._context.settings
         rate = min(SLOW_START_MARGIN, 0.5 * settings.overload_multiple) * fraction * flow
+        rate = max(rate, least_rate)
         most = max(1.0, rate * settings.overload_window_ms)
         elapsed = now - record.slow_start_tokens_at
         record.slow_start_tokens = min(most, record.slow_start_tokens + rate * elapsed)
--- a/tests/policy/test_slow_start.py
+++ b/tests/policy/test_slow_start.py
@@ -107,6 +107,23 @@
         assert len(window) <= 3 * capacity * 3 * warm_per_s
 
 
+@pytest.mark.parametrize("node_count", [1, 4])
+def test_endpoints_that_all_warm_up_are_used(node_count: int) -> None:
+    """After a power cut nodes and servers start together: no node has learned from warm ones what to send."""
+    host = make_host(endpoint_count=4, seed=3, warm_up_ms=WARM_UP_MS, node_count=node_count)
+    host.now += WARM_UP_MS
+    host.update_endpoints(Endpoint(bytes([i]), started_ms=host.now) for i in range(4))
+    begin = 0
+    for step in range(300):
+        if step == 200:  # 4 s
+            begin = len(host.actions)
+        host.arrive()
+        host.advance(20.0)
+        for request, number in host.all_in_flight():
+            host.end_attempt(request, number, Outcome.OK)
+    assert len(host.endpoints_sent_to(begin)) >= 50
+
+
 # ---------------------------------------------------------------- many nodes
 
 FLEET_SETTINGS = Settings(
