--- a/tests/proxy/test_downstream_connection.py
+++ b/tests/proxy/test_downstream_connection.py
@@ -16,6 +16,7 @@
     PATIENCE_S,
     StubServer,
     async_test,
+    held,
     reply,
     request,
     row,
@@ -131,6 +132,35 @@
             endpoint.release.set()
 
 
+@async_test
+async def test_later_request_that_stops_is_answered_within_3_s() -> None:
+    """A client that has been served before is owed its error in no longer than a new one."""
+    async with StubServer([reply("200 OK")]) as endpoint, world(row("a", endpoint.address)) as w:
+        client = await w.caller()
+        assert (await client.ask("look")).status == 200
+        loop = asyncio.get_running_loop()
+        client.writer.write(request("move", body=b"x" * 10)[:-5])
+        stopped_at = loop.time()
+        assert (await client.answer()).status == 408
+        assert loop.time() - stopped_at < 3.0
+        assert await client.ended()
+
+
+@async_test
+async def test_requests_before_unacceptable_input_get_their_responses() -> None:
+    """They were accepted: what comes behind them is no reason to leave them without a response."""
+    behaviours = [held(reply("200 OK", b"x"))]
+    async with StubServer(behaviours) as endpoint, world(row("a", endpoint.address)) as w:
+        recorder = PolicyRecorder(w.node)
+        client = await w.caller()
+        client.writer.write(b"".join(request("look") for _ in range(MAX_PIPELINED_REQUESTS + 4)))
+        await until(lambda: len(recorder.budgets) == MAX_PIPELINED_REQUESTS)
+        endpoint.release.set()
+        statuses = [(await client.answer()).status for _ in range(MAX_PIPELINED_REQUESTS + 1)]
+        assert statuses == [200] * MAX_PIPELINED_REQUESTS + [400]
+        assert await client.ended()
+
+
 @pytest.mark.parametrize("within", [False, True], ids=["idle", "half a request"])
 @async_test
 async def test_connection_with_unread_request_is_not_timed_out(
--- a/tests/proxy/test_upstream.py
+++ b/tests/proxy/test_upstream.py
@@ -23,6 +23,16 @@
             assert await harness.send() == (Outcome.CONNECT_FAILED, b"")
 
 
+@pytest.mark.usefixtures("no_reuse_delay")
+@async_test
+async def test_attempt_whose_time_is_over_is_not_written() -> None:
+    """The time told to the endpoint would be nothing, or less."""
+    async with StubServer([reply("200 OK")]) as endpoint, upstream(endpoint.address) as harness:
+        await harness.send()
+        assert await harness.send(timeout_s=0.0004) == (Outcome.NOT_SENT, b"")
+        assert len(endpoint.received) == 1
+
+
 @async_test
 async def test_connect_timeout_is_connect_failure() -> None:
     """A listening socket whose backlog is full leaves connections unanswered, as a cut network link does."""
