Write no attempt that has less than 2 ms left

Excluded: a late loop (uvloop renews its time at each call). Change: such an attempt ends as not sent, which proves that it never ran.

--- a/load_balancer/proxy/connection_opener.py
+++ b/load_balancer/proxy/connection_opener.py
@@ -145,7 +145,7 @@
         """Whether the request went out on a connection that has just come up; else it ends."""
         if request.ended:
             return False
-        if pool.retired or not request.still_wanted():
+        if pool.retired or not request.has_time_left() or not request.still_wanted():
             # Drained, gone or restarted: what was decided for that process must not reach the next one.
             request.end(Outcome.NOT_SENT)
             return False
--- a/load_balancer/proxy/upstream.py
+++ b/load_balancer/proxy/upstream.py
@@ -11,6 +11,7 @@
 from load_balancer.proxy.endpoint_listing import EndpointListing
 from load_balancer.proxy.endpoint_pool import IDLE_TIMEOUT_FRACTION, EndpointPool
 from load_balancer.proxy.upstream_connection import (
+    MIN_TIME_LEFT_S,
     OutcomeHandler,
     RequestRenderer,
     StillWanted,
@@ -135,11 +136,15 @@
         still_wanted: StillWanted = _always_wanted,
     ) -> UpstreamRequest:
         """Start a request; its outcome is reported once, and not before this returns."""
-        request = UpstreamRequest(render, timeout_s, on_outcome, still_wanted)
+        has_time = timeout_s >= MIN_TIME_LEFT_S
+        request = UpstreamRequest(render, max(timeout_s, MIN_TIME_LEFT_S), on_outcome, still_wanted)
         pool = self._pools.get(endpoint_id)
         if pool is None:
             self._loop.call_soon(request.end, Outcome.CONNECT_FAILED)
             return request
+        if not has_time:
+            self._loop.call_soon(request.end, Outcome.NOT_SENT)
+            return request
         connection = pool.take_idle()
         if connection is not None:
             connection.send(request)
--- a/load_balancer/proxy/upstream_connection.py
+++ b/load_balancer/proxy/upstream_connection.py
@@ -20,6 +20,10 @@
 
 log = logging.getLogger(__name__)
 
+# An attempt with less time left is not written: its server could not answer in it, and the time is told in
+# milliseconds.  The loop's clock has that resolution, too.
+MIN_TIME_LEFT_S = 0.002
+
 
 class OutcomeHandler(Protocol):
     """Called once with a request's outcome, and with the response where a complete one came."""
@@ -85,6 +89,10 @@
         self._on_outcome = on_outcome
         self._deadline_timer = loop.call_later(timeout_s, self._time_out)
 
+    def has_time_left(self) -> bool:
+        """Whether it can still be written and answered before its deadline."""
+        return self.deadline - asyncio.get_running_loop().time() >= MIN_TIME_LEFT_S
+
     def end(self, outcome: Outcome, response: HttpMessage | None = None) -> None:
         """Report the outcome; does nothing where one was reported before."""
         if self.ended:
