Answer a client that stops within a later request as soon as within its first

Cause: on a connection that had brought a request the next one had 10 s to arrive completely, whether or not anything of it came (DownstreamConnection.enforce_timeouts); the pages owe a client that stops its error or close within 3 s. Change: 2.25 s without a further byte, and nothing unread, end it; one that goes on arriving still has 10 s.

--- a/load_balancer/proxy/downstream_connection.py
+++ b/load_balancer/proxy/downstream_connection.py
@@ -24,6 +24,7 @@
 # answered or closed: with the reaper's and the network's time that is within the 3 s that it is owed.
 FIRST_REQUEST_TIMEOUT_S = 2.25
 REQUEST_TIMEOUT_S = 10.0  # for a later request to arrive completely
+STALLED_REQUEST_TIMEOUT_S = 2.25  # and for its next piece: a client that stops is owed its answer in 3 s, too
 RESPONSE_READ_TIMEOUT_S = 10.0  # for a client to read its response
 # Between requests: a connection that brought no request for the servers is closed as soon as the protocol
 # allows it, as clients keep such connections for good; one that did bring some saves a handshake.
@@ -102,6 +103,7 @@
         self._arrived_at_s = 0.0  # what is being read has arrived after this time
         self._write_paused = False  # the client does not read what it is sent
         self._discarded_bytes = 0
+        self._last_input_at = 0.0
         self._linger_timer: asyncio.TimerHandle | None = None
 
     # State.
@@ -203,8 +205,9 @@
         elif self._reader.in_message:
             timeout_s = REQUEST_TIMEOUT_S if self._brought_request else FIRST_REQUEST_TIMEOUT_S
             late_s = waited_s - timeout_s
+            stalled = now - self._last_input_at > STALLED_REQUEST_TIMEOUT_S
             # Where the loop is late the rest of the request may lie unread: it gets one more interval.
-            if late_s > REAP_INTERVAL_S or (late_s > 0.0 and not self.has_unread_input()):
+            if late_s > REAP_INTERVAL_S or ((late_s > 0.0 or stalled) and not self.has_unread_input()):
                 self._respond_early(408)
         else:
             timeout_s = IDLE_TIMEOUT_S if self._brought_request else UNUSED_IDLE_TIMEOUT_S
@@ -231,8 +234,9 @@
         if not self.answered and self._arrived_at_s <= self.waiting_since:
             # It may have come with the connection, and waited as long as that.
             self._arrived_at_s = self._accepted_after
+        self._last_input_at = self.owner.now()
         if self.answered and self.is_idle():
-            self.waiting_since = self.owner.now()
+            self.waiting_since = self._last_input_at
         try:
             self._reader.feed(data)
         except HttpMessageError as error:
--- a/load_balancer/proxy/response_slot.py
+++ b/load_balancer/proxy/response_slot.py
@@ -80,6 +80,15 @@
         self.output = render_response(status, body, extra, close=self.close_after)
         self._connection.flush()
 
+    def fail(self, status: int) -> None:
+        """Send this status in place of the response that was waited for, if there is none yet."""
+        if self.output is not None:
+            return
+        on_abandoned = self.on_abandoned
+        self.respond(status)
+        if on_abandoned is not None:
+            on_abandoned()
+
     def abandon(self) -> None:
         """The client has left: nobody waits for the response."""
         self.abandoned = True
