Give requests before bad input their responses

Cause: an input that is not accepted, or a 17th pipelined request, abandoned every request that was open on its connection and sent one error (DownstreamConnection._respond_early): the others had been accepted, and forwarded, and got nothing. Change: the error goes out behind the open requests. These have 2.25 s; what is open then is answered with the same status, so that the client has its error within the 3 s that it is owed. test_pipelined_requests_are_limited held the old behaviour: one response to 300 requests, of which 16 were accepted.

--- a/load_balancer/proxy/downstream_connection.py
+++ b/load_balancer/proxy/downstream_connection.py
@@ -25,6 +25,8 @@
 FIRST_REQUEST_TIMEOUT_S = 2.25
 REQUEST_TIMEOUT_S = 10.0  # for a later request to arrive completely
 STALLED_REQUEST_TIMEOUT_S = 2.25  # and for its next piece: a client that stops is owed its answer in 3 s, too
+# Requests that were accepted before an input that is not have so long for their responses.
+OPEN_REQUESTS_TIMEOUT_S = 2.25
 RESPONSE_READ_TIMEOUT_S = 10.0  # for a client to read its response
 # Between requests: a connection that brought no request for the servers is closed as soon as the protocol
 # allows it, as clients keep such connections for good; one that did bring some saves a handshake.
@@ -105,6 +107,7 @@
         self._discarded_bytes = 0
         self._last_input_at = 0.0
         self._linger_timer: asyncio.TimerHandle | None = None
+        self._open_requests_timer: asyncio.TimerHandle | None = None
 
     # State.
 
@@ -256,7 +259,7 @@
                 raise HttpMessageError(400, "too many pipelined requests")
             self._brought_request |= self.owner.route(message, slot)
         except HttpMessageError as error:
-            self._respond_early(error.status)
+            self._respond_early(error.status, slot)
         except Exception:
             # A fault in one request must cost that request alone, and still be answered.
             log.exception("request_failed")
@@ -282,8 +285,9 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Called by the event loop when the connection is gone."""
         self._transport = None
-        if self._linger_timer is not None:
-            self._linger_timer.cancel()
+        for timer in (self._linger_timer, self._open_requests_timer):
+            if timer is not None:
+                timer.cancel()
         self.owner.connection_closed(self)
         self._abandon_requests()
 
@@ -314,15 +318,34 @@
                 return
         self._update_reading()
 
-    def _respond_early(self, status: int) -> None:
-        """Answer what cannot be accepted at once, whatever waits on this connection, then close."""
+    def _respond_early(self, status: int, slot: ResponseSlot | None = None) -> None:
+        """Answer what cannot be accepted, behind what was accepted before, and close.
+
+        Open requests have OPEN_REQUESTS_TIMEOUT_S for their responses; then they are answered alike, as the
+        client is owed its error by then.
+        """
         self.end_input()
         if self._finished:
             return
-        self._abandon_requests()
-        slot = ResponseSlot(self, True)
-        self._slots.append(slot)
+        if slot is None:
+            slot = ResponseSlot(self, True)
+            self._slots.append(slot)
+        slot.close_after = True
         slot.respond(status)
+        if self._slots:
+            loop = asyncio.get_running_loop()
+            self._open_requests_timer = loop.call_later(
+                OPEN_REQUESTS_TIMEOUT_S, self._fail_open_requests, status
+            )
+
+    def _fail_open_requests(self, status: int) -> None:
+        """Answer every request that is still open with this status, which also stands for the bad input."""
+        if self._slots:
+            self._slots.pop()
+        if self._slots:
+            self._slots[-1].close_after = True
+        for slot in list(self._slots):
+            slot.fail(status)
 
     def _finish(self) -> None:
         """Close after the last response, once the client has had the time to read it."""
