Wait at a start for 4.5 s until the configuration can be opened

Change: errors of the system that pass are waited for longer; a half-written file as before. Result: the new test, which failed on the text before by the sum of its pauses, passes.

--- a/load_balancer/proxy/configuration.py
+++ b/load_balancer/proxy/configuration.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import itertools
 import json
 import os
 import time
@@ -23,7 +24,9 @@
 _MIN_SOCKETS = 16
 _MIN_MEMORY_MB = 1
 _SEED_MASK = 2**64 - 1
-_START_RETRY_S = (0.05, 0.1, 0.2, 0.4)
+# At a start: pauses before a file that was half written, or could not be opened, is read again.
+_HALF_WRITTEN_RETRY_S = (0.05, 0.1, 0.2, 0.4)
+_TRANSIENT_RETRY_S = (*_HALF_WRITTEN_RETRY_S, 0.8, 1.0, 1.0, 1.0)
 _TRANSIENT_ERRORS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.EIO, errno.EAGAIN})
 
 
@@ -191,22 +194,23 @@
 
 def _read_file_with_retries(path: str) -> dict[str, Any]:
     """Read the file; one that is half written, or cannot be opened for a moment, is read again."""
-    for delay_s in _START_RETRY_S:
+    for retries in itertools.count():
         try:
             return _read_file(path)
         except ConfigurationError as error:
-            if not _may_pass(error):
+            pauses = _pauses_after(error)
+            if retries >= len(pauses):
                 raise
-            time.sleep(delay_s)
-    return _read_file(path)
+            time.sleep(pauses[retries])
+    raise AssertionError("unreachable")
 
 
-def _may_pass(error: ConfigurationError) -> bool:
-    """Whether what made the file unreadable may be over in a moment."""
+def _pauses_after(error: ConfigurationError) -> tuple[float, ...]:
+    """The pauses after which what made the file unreadable may be over."""
     cause = error.__cause__
     if isinstance(cause, OSError):
-        return cause.errno in _TRANSIENT_ERRORS
-    return isinstance(cause, ValueError)
+        return _TRANSIENT_RETRY_S if cause.errno in _TRANSIENT_ERRORS else ()
+    return _HALF_WRITTEN_RETRY_S if isinstance(cause, ValueError) else ()
 
 
 def _read_member(raw: Mapping[str, Any], name: str, kind: type[MemberType]) -> MemberType:
--- a/tests/proxy/test_configuration.py
+++ b/tests/proxy/test_configuration.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import json
 from pathlib import Path
 from typing import Any
@@ -63,6 +64,24 @@
     assert sum(pauses) < 1.0
 
 
+def test_file_that_cannot_be_opened_for_seconds_is_read_at_last(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The machine's table of files is full; that is no reason to fail the start."""
+    environment = _environment(tmp_path, _configuration())
+    pauses: list[float] = []
+    really_open = open
+
+    def fail_at_first(*arguments: Any, **options: Any) -> Any:
+        if sum(pauses) < 3.0:
+            raise OSError(errno.ENFILE, "too many open files in system")
+        return really_open(*arguments, **options)
+
+    monkeypatch.setattr("builtins.open", fail_at_first)
+    monkeypatch.setattr("time.sleep", pauses.append)
+    assert load_configuration(environment).name == "n3"
+
+
 def test_cached_list_is_read(tmp_path: Path) -> None:
     cached = load_configuration(_environment(tmp_path, _configuration())).cached_listing
     assert cached is not None
