Check each write and rejection once more on a record of its own, and count what is done

Answers without a served attempt carry a typed reason; node_counters has all counts every 10 s and at the end, whatever the rate of the log.

--- a/load_balancer/actions.py
+++ b/load_balancer/actions.py
@@ -6,12 +6,33 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import Enum
 
 from load_balancer.events import EndpointId, RequestId
 
 LogValue = str | int | float | bytes
 
 
+class FinishReason(Enum):
+    """Why a request is answered without having been served; for counters and logs."""
+
+    UNKNOWN = "unknown"
+    OVERLOADED = "overloaded"
+    """It waited in vain for room within the concurrency limit."""
+
+    NO_ENDPOINT = "no_endpoint"
+    """It waited in vain for an endpoint that may get it."""
+
+    CLIENT_ERROR = "client_error"
+    """A server found the request itself invalid."""
+
+    ATTEMPTS_EXHAUSTED = "attempts_exhausted"
+    OUT_OF_TIME = "out_of_time"
+    RETRY_BUDGET = "retry_budget"
+    NOT_REPEATABLE = "not_repeatable"
+    """It may have run, and its class forbids another attempt at any endpoint that is listed."""
+
+
 @dataclass(frozen=True, slots=True)
 class SendAttempt:
     """Start the request's next attempt; a timeout_ms of 0 waits until the client's deadline."""
@@ -27,6 +48,7 @@
 
     request_id: RequestId
     retry_after_ms: float = 0.0
+    reason: FinishReason = FinishReason.UNKNOWN
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,6 +56,7 @@
     """Final answer: not served, and the request may have been executed."""
 
     request_id: RequestId
+    reason: FinishReason = FinishReason.UNKNOWN
 
 
 @dataclass(frozen=True, slots=True)
--- a/load_balancer/logging_setup.py
+++ b/load_balancer/logging_setup.py
@@ -9,6 +9,9 @@
 LINES_PER_S = 20.0
 BURST_LINES = 100.0
 
+UNLIMITED = {"unlimited": True}
+"""The extra of a line that is written whatever the rate: for lines whose number is bounded otherwise."""
+
 
 class LogRateLimit(logging.Filter):
     """A token bucket for log lines; says on the next line how many it suppressed.
@@ -26,6 +29,8 @@
 
     def filter(self, record: logging.LogRecord) -> bool:
         """Whether the line is written."""
+        if getattr(record, "unlimited", False):
+            return True
         now = time.monotonic()
         refill = self._lines_per_s * (now - self._refilled_at)
         self._tokens = min(self._burst, self._tokens + refill)
--- a/load_balancer/policy/balancer.py
+++ b/load_balancer/policy/balancer.py
@@ -5,7 +5,7 @@
 """
 
 from load_balancer import events
-from load_balancer.actions import Action, CancelAttempt, CloseIdleConnections, SendAttempt
+from load_balancer.actions import Action, CancelAttempt, CloseIdleConnections, FinishReason, SendAttempt
 from load_balancer.estimation.averages import RelativeSize
 from load_balancer.policy import admission
 from load_balancer.policy.automaton import Automaton
@@ -121,10 +121,11 @@
             self.queue.remove(request)
             self._cancel_attempts(request, event.attempt_number)
         elif not request.in_flight and not request.queued:
-            if self.retries.take_retry(request, event.outcome):
+            denial = self.retries.take_retry(request, event.outcome)
+            if denial is None:
                 self.queue.add(request, admission.retry_timeout(request, request.deadline - self.context.now))
             else:
-                self._finish(request)
+                self._finish(request, denial)
 
     def _on_request_abandoned(self, event: events.RequestAbandoned) -> None:
         request = self.context.requests.take(event.request_id)
@@ -171,8 +172,10 @@
 
     def _expire(self, request: Request) -> None:
         """A request has waited long enough: a final attempt anywhere the rules allow, or an answer."""
-        if not (self.concurrency.admits(request) and self._place(request, True)):
-            self._finish(request)
+        if not self.concurrency.admits(request):
+            self._finish(request, FinishReason.OVERLOADED)
+        elif not self._place(request, True):
+            self._finish(request, FinishReason.NO_ENDPOINT)
 
     def _place(self, request: Request, final_attempt: bool) -> bool:
         record = self.selector.draw(request, final_attempt)
@@ -193,12 +196,12 @@
         context.actions.append(SendAttempt(request.id, record.endpoint.id))
         return True
 
-    def _finish(self, request: Request) -> None:
+    def _finish(self, request: Request, reason: FinishReason) -> None:
         """The one path that answers a request that is not served."""
         if self.context.requests.take(request.id) is None:
             return
         self.queue.remove(request)
-        self.context.actions.append(self.retries.final_answer(request))
+        self.context.actions.append(self.retries.final_answer(request, reason))
         self._cancel_attempts(request)
 
     def _cancel_attempts(self, request: Request, keep: int | None = None) -> None:
--- a/load_balancer/policy/retries.py
+++ b/load_balancer/policy/retries.py
@@ -1,6 +1,6 @@
 """Further attempts of a request - retries and hedged requests - and the final answer without one."""
 
-from load_balancer.actions import FailRequest, RejectRequest
+from load_balancer.actions import FailRequest, FinishReason, RejectRequest
 from load_balancer.events import Outcome
 from load_balancer.policy.congestion import CongestionMonitor
 from load_balancer.policy.outliers import is_silent
@@ -30,23 +30,32 @@
         """Pay for a further attempt."""
         self.tokens -= 1.0
 
-    def take_retry(self, request: Request, outcome: Outcome) -> bool:
-        """Whether a request whose last attempt ended so gets another; pays for it from the budget."""
-        left = request.deadline - self._context.now
-        mean = self._monitor.class_latencies[request.class_index].mean
+    def take_retry(self, request: Request, outcome: Outcome) -> FinishReason | None:
+        """Grant another attempt to a request whose last one ended so, paid from the budget.
+
+        Returns:
+            Why it gets none; None where it gets one.
+        """
         # An attempt that no server saw costs nothing to repeat.
         costs = outcome is Outcome.REJECTED or request.first_possible_run() is not None
-        if (
-            outcome is Outcome.CLIENT_ERROR
-            or len(request.attempts) >= self._context.settings.max_attempts
-            or left <= max(mean, 2 * self._context.settings.tick_ms)
-            or (costs and self.tokens < 1.0)
-            or not permitted(self._context, request)
-        ):
-            return False
-        if costs:
+        denial = self._denial(request, outcome, costs)
+        if denial is None and costs:
             self.spend()
-        return True
+        return denial
+
+    def _denial(self, request: Request, outcome: Outcome, costs: bool) -> FinishReason | None:
+        settings = self._context.settings
+        left = request.deadline - self._context.now
+        mean = self._monitor.class_latencies[request.class_index].mean
+        if outcome is Outcome.CLIENT_ERROR:
+            return FinishReason.CLIENT_ERROR
+        if len(request.attempts) >= settings.max_attempts:
+            return FinishReason.ATTEMPTS_EXHAUSTED
+        if left <= max(mean, 2 * settings.tick_ms):
+            return FinishReason.OUT_OF_TIME
+        if costs and self.tokens < 1.0:
+            return FinishReason.RETRY_BUDGET
+        return None if permitted(self._context, request) else FinishReason.NOT_REPEATABLE
 
     def schedule_late_check(self, request: Request) -> None:
         """Have a timer fire when an attempt sent now is late, if another could still be answered in time."""
@@ -83,11 +92,11 @@
         overdue = self._context.now - record.last_response_at > self._monitor.latency.mean
         return overdue and self._monitor.target_pressure < 1.0 and not request.repeatable()
 
-    def final_answer(self, request: Request) -> RejectRequest | FailRequest:
+    def final_answer(self, request: Request, reason: FinishReason) -> RejectRequest | FailRequest:
         """The answer to a request that is not served: a rejection where trying again is harmless."""
         if not request.repeatable_anywhere() and request.first_possible_run() is not None:
-            return FailRequest(request.id)
+            return FailRequest(request.id, reason)
         if not self._context.settings.retry_after_allowed:
-            return RejectRequest(request.id)
+            return RejectRequest(request.id, reason=reason)
         after = RETRY_AFTER * request.request_class.latency_objective_ms
-        return RejectRequest(request.id, min(after, self._context.settings.max_retry_after_ms))
+        return RejectRequest(request.id, min(after, self._context.settings.max_retry_after_ms), reason)
--- a/load_balancer/proxy/connection_opener.py
+++ b/load_balancer/proxy/connection_opener.py
@@ -145,8 +145,9 @@
         """Whether the request went out on a connection that has just come up; else it ends."""
         if request.ended:
             return False
-        if pool.retired or not request.has_time_left() or not request.still_wanted():
-            # Drained, gone or restarted: what was decided for that process must not reach the next one.
+        # Drained, gone or restarted: what was decided for that process must not reach the next one.
+        wanted = not pool.retired and request.has_time_left() and request.still_wanted()
+        if not wanted or not request.may_write():
             request.end(Outcome.NOT_SENT)
             return False
         connection.send(request)
--- /dev/null
+++ b/load_balancer/proxy/counters.py
@@ -0,0 +1,108 @@
+"""What a node has done, in numbers: one log line in a while, and one at its end."""
+
+from __future__ import annotations
+
+import logging
+from collections import Counter
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import Enum
+
+from load_balancer.actions import FinishReason
+from load_balancer.events import Outcome
+from load_balancer.logging_setup import UNLIMITED
+from load_balancer.proxy.rule_guard import RuleMonitor
+from load_balancer.proxy.timers import TimerGroup
+
+log = logging.getLogger(__name__)
+
+REPORT_INTERVAL_S = 10.0
+
+
+class CloseReason(Enum):
+    """Why the node closed a client's connection."""
+
+    IDLE = "idle"
+    UNUSED = "unused"
+    """It brought no request for the servers."""
+
+    EVICTED = "evicted"
+    OVERFLOW = "overflow"
+    """It was one too many, and none could be evicted."""
+
+    RESPONSE_UNREAD = "response_unread"
+    LAST_RESPONSE = "last_response"
+    """The response before said so: as the client asked for, for a bad request, or as the node drains."""
+
+    DRAINED = "drained"
+    STOPPED = "stopped"
+
+
+@dataclass(slots=True)
+class NodeCounters:
+    """Counts since the start of the process.
+
+    Attributes:
+        accepted: requests that were accepted.
+        abandoned: those whose clients left.
+        responses: responses by status, readiness checks among them.
+        finished: answers without a served attempt, by reason.
+        written: attempts that were written.
+        outcomes: ended attempts by outcome.
+        closed: client connections that the node closed, by reason.
+    """
+
+    accepted: int = 0
+    abandoned: int = 0
+    written: int = 0
+    responses: Counter[int] = field(default_factory=Counter)
+    finished: Counter[FinishReason] = field(default_factory=Counter)
+    outcomes: Counter[Outcome] = field(default_factory=Counter)
+    closed: Counter[CloseReason] = field(default_factory=Counter)
+
+    def summary(self, rules: RuleMonitor) -> str:
+        """All counts as the fields of one log line."""
+        fields = {
+            "accepted": str(self.accepted),
+            "abandoned": str(self.abandoned),
+            "written": str(self.written),
+            "responses": _listed({str(status): count for status, count in sorted(self.responses.items())}),
+            "finished": _listed({reason.value: count for reason, count in self.finished.items()}),
+            "outcomes": _listed({outcome.value: count for outcome, count in self.outcomes.items()}),
+            "closed": _listed({reason.value: count for reason, count in self.closed.items()}),
+            "violations": _listed({rule.value: count for rule, count in rules.violations.items()}),
+        }
+        return " ".join(f"{name}={value}" for name, value in fields.items())
+
+
+def _listed(counts: Mapping[str, int]) -> str:
+    return ",".join(f"{name}:{count}" for name, count in counts.items()) or "-"
+
+
+class CounterReport:
+    """Logs the counters while they change, and once more at the end."""
+
+    def __init__(self, counters: NodeCounters, rules: RuleMonitor) -> None:
+        self._counters = counters
+        self._rules = rules
+        self._timers = TimerGroup()
+        self._last = ""
+
+    def start(self) -> None:
+        """Log from now on."""
+        self._timers.call_later(REPORT_INTERVAL_S, self._report)
+
+    def stop(self) -> None:
+        """Log the last counts."""
+        self._timers.cancel_all()
+        self._log()
+
+    def _report(self) -> None:
+        self.start()
+        self._log()
+
+    def _log(self) -> None:
+        summary = self._counters.summary(self._rules)
+        if summary != self._last:
+            self._last = summary
+            log.info("node_counters %s", summary, extra=UNLIMITED)
--- a/load_balancer/proxy/downstream.py
+++ b/load_balancer/proxy/downstream.py
@@ -7,6 +7,7 @@
 import time
 from collections.abc import Callable
 
+from load_balancer.proxy.counters import CloseReason, NodeCounters
 from load_balancer.proxy.descriptors import OVERFLOW_FRACTION
 from load_balancer.proxy.downstream_connection import REAP_INTERVAL_S, DownstreamConnection
 from load_balancer.proxy.eviction import EvictionPriority, EvictionQueues
@@ -14,6 +15,7 @@
 from load_balancer.proxy.loop_iterations import LoopIterations
 from load_balancer.proxy.request_parsing import ParsedRequest, RequestParser
 from load_balancer.proxy.response_slot import ResponseSlot
+from load_balancer.proxy.rule_guard import RuleMonitor
 from load_balancer.proxy.socket_poll import poll_socket
 
 # While a connection is not read only a poll of its socket reveals that the client has left.  Each attempt
@@ -34,6 +36,8 @@
 
     Attributes:
         iterations: bounds the arrival times of what is read.
+        counters: counts responses and closed connections.
+        rules: gets what is found broken.
         draining: every response closes its connection.
         last_activity: when a connection or a request last came (monotonic, seconds).
         max_connections: connections that may be open; a few more are answered 503.
@@ -46,11 +50,15 @@
         accept_request: AcceptRequest,
         is_ready: Callable[[], bool],
         iterations: LoopIterations,
+        counters: NodeCounters,
+        rules: RuleMonitor,
         *,
         max_connections: int,
         max_body_bytes: int,
     ) -> None:
         self.iterations = iterations
+        self.counters = counters
+        self.rules = rules
         self.draining = False
         self.last_activity = 0.0
         self.max_connections = max_connections
@@ -139,7 +147,7 @@
         self.draining = True
         idle = [c for c in self._connections if c.is_idle() and c.answered and not c.has_unread_input()]
         for connection in idle:
-            connection.close()
+            connection.close(CloseReason.DRAINED)
 
     def end_input(self) -> None:
         """Accept no further connection and no further request; open requests can still be answered."""
@@ -156,7 +164,7 @@
         if self._server is not None:
             self._server.close()
         for connection in list(self._connections):
-            connection.abort()
+            connection.abort(CloseReason.STOPPED)
 
     # Connections.
 
@@ -166,7 +174,7 @@
         self.update_eviction(connection)
         self.last_activity = self.now()
         if self.is_over_limit() and not self.evict_one(connection) and self._is_overflowing():
-            connection.abort()
+            connection.abort(CloseReason.OVERFLOW)
 
     def connection_closed(self, connection: DownstreamConnection) -> None:
         """A connection is gone."""
--- a/load_balancer/proxy/downstream_connection.py
+++ b/load_balancer/proxy/downstream_connection.py
@@ -9,10 +9,12 @@
 from collections import deque
 from socket import socket
 
+from load_balancer.proxy.counters import CloseReason, NodeCounters
 from load_balancer.proxy.eviction import EvictionPriority
 from load_balancer.proxy.http1 import HttpMessage, HttpMessageError, HttpReader
 from load_balancer.proxy.loop_iterations import LoopIterations
 from load_balancer.proxy.response_slot import ResponseSlot
+from load_balancer.proxy.rule_guard import Rule, RuleMonitor
 from load_balancer.proxy.socket_poll import poll_socket
 
 log = logging.getLogger(__name__)
@@ -43,6 +45,8 @@
     """What a connection needs of the server that accepted it."""
 
     iterations: LoopIterations
+    counters: NodeCounters
+    rules: RuleMonitor
 
     @property
     def draining(self) -> bool:
@@ -105,6 +109,7 @@
         self._arrived_at_s = 0.0  # what is being read has arrived after this time
         self._write_paused = False  # the client does not read what it is sent
         self._discarded_bytes = 0
+        self._close_recorded = False
         self._last_input_at = 0.0
         self._linger_timer: asyncio.TimerHandle | None = None
         self._open_requests_timer: asyncio.TimerHandle | None = None
@@ -193,16 +198,16 @@
     def evict(self) -> None:
         """Close: at once where the last response is out, else when what was written has been sent."""
         if self._finished:
-            self.abort()
+            self.abort(CloseReason.EVICTED)
         else:
-            self.close()
+            self.close(CloseReason.EVICTED)
 
     def enforce_timeouts(self, now: float) -> None:
         """End what has been waited for long enough; to be called every REAP_INTERVAL_S."""
         waited_s = now - self.waiting_since
         if self._write_paused or self._finished:
             if waited_s > RESPONSE_READ_TIMEOUT_S:
-                self.abort()
+                self.abort(CloseReason.RESPONSE_UNREAD)
         elif self._slots:
             return
         elif self._reader.in_message:
@@ -215,7 +220,7 @@
         else:
             timeout_s = IDLE_TIMEOUT_S if self._brought_request else UNUSED_IDLE_TIMEOUT_S
             if waited_s > timeout_s and not self.has_unread_input():
-                self.close()
+                self.close(CloseReason.IDLE if self._brought_request else CloseReason.UNUSED)
 
     # Requests in.
 
@@ -310,6 +315,7 @@
             slot = self._slots.popleft()
             assert slot.output is not None
             transport.write(slot.output)
+            self.owner.counters.responses[slot.status] += 1
             self.waiting_since = self.owner.now()
             self.answered = True
             self.owner.update_eviction(self)
@@ -353,6 +359,7 @@
         self._finished = True
         self.owner.update_eviction(self)
         self.end_input()
+        self._report_unanswered(CloseReason.LAST_RESPONSE)
         self._abandon_requests()
         if self._transport.can_write_eof():
             self._transport.write_eof()
@@ -367,19 +374,34 @@
         if self.has_unsent_output():
             self._linger()
         else:
-            self.abort()
+            self.abort(CloseReason.LAST_RESPONSE)
 
-    def abort(self) -> None:
+    def abort(self, reason: CloseReason) -> None:
         """Close at once; what has not been sent is dropped."""
+        self._record_close(reason)
         if self._transport is not None:
             self._transport.abort()
 
-    def close(self) -> None:
+    def close(self, reason: CloseReason) -> None:
         """Close when what was written has been sent."""
+        self._record_close(reason)
         self._finished = True
         if self._transport is not None:
             self._transport.close()
 
+    def _record_close(self, reason: CloseReason) -> None:
+        """Count the close, which must leave no request without a response; a connection is closed once."""
+        if self._close_recorded or self._transport is None or self._transport.is_closing():
+            return
+        self._close_recorded = True
+        self.owner.counters.closed[reason] += 1
+        self._report_unanswered(reason)
+
+    def _report_unanswered(self, reason: CloseReason) -> None:
+        for slot in self._slots:
+            if slot.output is None and not slot.abandoned:
+                self.owner.rules.report(Rule.CLOSED_UNANSWERED, reason=reason.value)
+
     # Backpressure.
 
     def pause_writing(self) -> None:
--- a/load_balancer/proxy/request_table.py
+++ b/load_balancer/proxy/request_table.py
@@ -10,6 +10,7 @@
 from load_balancer.proxy.http1 import HttpMessage
 from load_balancer.proxy.http_headers import REQUEST_ID
 from load_balancer.proxy.response_slot import ResponseSlot
+from load_balancer.proxy.rule_guard import RequestGuard
 from load_balancer.proxy.upstream_connection import UpstreamRequest
 
 
@@ -23,6 +24,7 @@
         deadline_ms: when it must be answered, on the node's clock.
         deadline_timer: answers it if the policy has not done so by then.
         head: the part of the upstream head that is the same for each attempt.
+        guard: the last check of what is written for it.
         attempt_count: attempts that the policy has started.
     """
 
@@ -31,6 +33,7 @@
     deadline_ms: float
     deadline_timer: asyncio.TimerHandle
     head: bytes
+    guard: RequestGuard
     attempt_count: int = 0
 
     @property
--- a/load_balancer/proxy/response_slot.py
+++ b/load_balancer/proxy/response_slot.py
@@ -35,6 +35,7 @@
         arrived_at_s: the earliest monotonic time at which the request's last byte can have arrived.
         abandoned: the client left before it was answered.
         body_bytes: the size of the request's body while the request is open.
+        status: the status of the response, 0 until it is known.
         output: the response as it goes onto the wire, None until it is known.
         on_abandoned: called when the client leaves before it was answered.
     """
@@ -47,6 +48,7 @@
         "close_after",
         "on_abandoned",
         "output",
+        "status",
     )
 
     def __init__(self, connection: SlotConnection, close_after: bool, arrived_at_s: float = 0.0) -> None:
@@ -55,6 +57,7 @@
         self.arrived_at_s = arrived_at_s
         self.abandoned = False
         self.body_bytes = 0
+        self.status = 0
         self.output: bytes | None = None
         self.on_abandoned: Callable[[], None] | None = None
 
@@ -77,6 +80,7 @@
             return
         self.close_after = self.close_after or self._connection.must_close_after(self)
         self._connection.release_body(self)
+        self.status = status
         self.output = render_response(status, body, extra, close=self.close_after)
         self._connection.flush()
 
--- a/load_balancer/proxy/server.py
+++ b/load_balancer/proxy/server.py
@@ -40,6 +40,7 @@
 from load_balancer.policy.balancer import Balancer
 from load_balancer.proxy.clock import Clock
 from load_balancer.proxy.configuration import NodeConfiguration
+from load_balancer.proxy.counters import CounterReport, NodeCounters
 from load_balancer.proxy.descriptors import divide_descriptors
 from load_balancer.proxy.discovery import EndpointDiscovery
 from load_balancer.proxy.downstream import DownstreamServer
@@ -54,6 +55,7 @@
 from load_balancer.proxy.request_parsing import ParsedRequest, RequestParser
 from load_balancer.proxy.request_table import Attempt, PendingRequest, RequestTable
 from load_balancer.proxy.response_slot import ResponseSlot
+from load_balancer.proxy.rule_guard import RequestGuard, Rule, RuleMonitor
 from load_balancer.proxy.timers import TimerGroup
 from load_balancer.proxy.upstream import UpstreamPools
 
@@ -89,6 +91,9 @@
         self._handling = False
         self._requests = RequestTable()
         self._policy_timers = TimerGroup()
+        self._counters = NodeCounters()
+        self._rules = RuleMonitor()
+        self._counter_report = CounterReport(self._counters, self._rules)
         self._host = b"%s:%d" % (config.listen[0].encode(), config.listen[1])
         self._stopped = asyncio.Event()
         shares = divide_descriptors(config.limits.sockets)
@@ -129,6 +134,8 @@
             self._accept_request,
             readiness.is_ready,
             self._iterations,
+            self._counters,
+            self._rules,
             max_connections=max_connections,
             max_body_bytes=int(BODY_MEMORY_FRACTION * self._config.limits.memory_mb * 1_000_000),
         )
@@ -165,6 +172,16 @@
         """What ends the node after SIGTERM."""
         return self._shutdown
 
+    @property
+    def counters(self) -> NodeCounters:
+        """What the node has done so far."""
+        return self._counters
+
+    @property
+    def rules(self) -> RuleMonitor:
+        """What the last check before writes and rejections has found."""
+        return self._rules
+
     # Lifecycle.
 
     async def start(self) -> tuple[str, int]:
@@ -175,6 +192,7 @@
             self._update_endpoints(cached, cached=True)
         self._discovery.start(cached.version if cached is not None else 0)
         self._reload.after_start()
+        self._counter_report.start()
         host, port = await self._downstream.listen(self._config.listen)
         log.info("node_listening name=%s address=%s:%d", self._config.name, host, port)
         return host, port
@@ -202,6 +220,7 @@
         self._discovery.close()
         self._downstream.close()
         self._pools.close()
+        self._counter_report.stop()
         self._stopped.set()
 
     # Events in, actions out.
@@ -247,10 +266,10 @@
             case SetTimer(token, at_ms):
                 delay_s = max(0.0, at_ms - self._clock.now()) / 1000.0
                 self._policy_timers.call_later(delay_s, self.handle_event, TimerFired(token))
-            case RejectRequest(request_id, retry_after_ms):
-                header = b"Retry-After: %.3f\r\n" % (retry_after_ms / 1000.0) if retry_after_ms else b""
-                self._respond(request_id, 503, extra=header)
-            case FailRequest(request_id):
+            case RejectRequest():
+                self._reject(action)
+            case FailRequest(request_id, reason):
+                self._counters.finished[reason] += 1
                 self._respond(request_id, 502)
             case CancelAttempt(request_id, number):
                 self._cancel_attempt(request_id, number)
@@ -279,7 +298,10 @@
             (budget_ms + DEADLINE_TIMER_MS) / 1000.0, self._on_deadline, request_id
         )
         head = render_request_head(parsed.message, self._host)
-        self._requests.add(request_id, PendingRequest(parsed.message, slot, now + budget_ms, timer, head))
+        guard = RequestGuard(self._config.settings, parsed.class_index)
+        request = PendingRequest(parsed.message, slot, now + budget_ms, timer, head, guard)
+        self._requests.add(request_id, request)
+        self._counters.accepted += 1
         slot.on_abandoned = lambda: self._abandon(request_id)
         self.handle_event(
             RequestArrived(
@@ -316,10 +338,22 @@
             request.slot.respond(status, extra=extra)
             self._withdraw_unsent(request_id, request)
 
+    def _reject(self, action: RejectRequest) -> None:
+        """Tell the client that a retry is harmless, if that is so."""
+        self._counters.finished[action.reason] += 1
+        request = self._requests.get(action.request_id)
+        if request is not None and not request.guard.may_reject():
+            self._rules.report(Rule.REJECTED_AFTER_RUN, request=request.client_id.decode())
+            self._respond(action.request_id, 502)
+            return
+        after_s = action.retry_after_ms / 1000.0
+        self._respond(action.request_id, 503, extra=b"Retry-After: %.3f\r\n" % after_s if after_s else b"")
+
     def _abandon(self, request_id: RequestId) -> None:
         """The request's client has left."""
         request = self._finish(request_id)
         if request is not None:
+            self._counters.abandoned += 1
             self.handle_event(RequestAbandoned(request_id))
             self._withdraw_unsent(request_id, request)
 
@@ -384,18 +418,38 @@
             return b"%sX-Deadline: %.3f\r\n\r\n%s" % (head, remaining_s, body)
 
         def on_end(outcome: Outcome, response: HttpMessage | None) -> None:
+            self._counters.outcomes[outcome] += 1
+            request.guard.record_outcome(attempt.number, outcome)
             self._requests.release(client_id)
             self._on_attempt_ended(attempt, outcome, response)
 
         def is_wanted() -> bool:
             return not slot.client_has_left()
 
+        def may_write() -> bool:
+            return self._may_write(attempt, request)
+
         self._requests.reserve(client_id)
         upstream_request = self._pools.start_request(
-            attempt.endpoint_id, render, timeout_ms / 1000.0, on_end, is_wanted
+            attempt.endpoint_id, render, timeout_ms / 1000.0, on_end, is_wanted, may_write
         )
         self._requests.add_attempt(attempt, upstream_request)
 
+    def _may_write(self, attempt: Attempt, request: PendingRequest) -> bool:
+        """The last check before an attempt is written; what it forbids should not have been decided."""
+        now_ms = self._clock.now()
+        endpoint = self._pools.serving_endpoint(attempt.endpoint_id)
+        rule = request.guard.check_write(endpoint, now_ms)
+        if attempt.request_id not in self._requests:
+            rule = Rule.FINISHED
+        if rule is not None or endpoint is None:
+            fields = {"request": request.client_id.decode(), "endpoint": attempt.endpoint_id.decode()}
+            self._rules.report(rule or Rule.NOT_SERVING, attempt=attempt.number, **fields)
+            return False
+        request.guard.record_write(attempt.number, endpoint, now_ms)
+        self._counters.written += 1
+        return True
+
     def _report_not_sent(self, attempt: Attempt, *, finished: bool) -> None:
         self.handle_event(
             AttemptEnded(
--- a/load_balancer/proxy/upstream.py
+++ b/load_balancer/proxy/upstream.py
@@ -12,11 +12,13 @@
 from load_balancer.proxy.endpoint_pool import IDLE_TIMEOUT_FRACTION, EndpointPool
 from load_balancer.proxy.upstream_connection import (
     MIN_TIME_LEFT_S,
+    MayWrite,
     OutcomeHandler,
     RequestRenderer,
     StillWanted,
     UpstreamConnection,
     UpstreamRequest,
+    always,
 )
 
 log = logging.getLogger(__name__)
@@ -24,10 +26,6 @@
 REAP_INTERVAL_S = 1.0
 
 
-def _always_wanted() -> bool:
-    return True
-
-
 class UpstreamPools:
     """All endpoints that the endpoint list names, and every open connection to them."""
 
@@ -43,6 +41,7 @@
         self._max_idle_timeout_s = IDLE_TIMEOUT_FRACTION * endpoint_idle_s
         self._max_open = max_open
         self._pools: dict[EndpointId, EndpointPool] = {}
+        self._endpoints: dict[EndpointId, Endpoint] = {}  # those of the pools, as they are listed
         self._endpoint_at: dict[Address, EndpointId] = {}  # which endpoint is listed at an address
         self._open: set[UpstreamConnection] = set()
         self._opener = ConnectionOpener(connect_timeout_s, self._make_capacity)
@@ -107,6 +106,7 @@
         if pool is None or pool.address != address or pool.started_ms != endpoint.started_ms:
             self._remove(endpoint.id)
             self._add(endpoint, address)
+        self._endpoints[endpoint.id] = endpoint
         return older
 
     def _add(self, endpoint: Endpoint, address: Address) -> None:
@@ -121,6 +121,7 @@
 
     def _remove(self, endpoint_id: EndpointId) -> None:
         pool = self._pools.pop(endpoint_id, None)
+        self._endpoints.pop(endpoint_id, None)
         if pool is not None:
             self._endpoint_at.pop(pool.address, None)
             pool.retire()
@@ -133,11 +134,14 @@
         render: RequestRenderer,
         timeout_s: float,
         on_outcome: OutcomeHandler,
-        still_wanted: StillWanted = _always_wanted,
+        still_wanted: StillWanted = always,
+        may_write: MayWrite = always,
     ) -> UpstreamRequest:
         """Start a request; its outcome is reported once, and not before this returns."""
         has_time = timeout_s >= MIN_TIME_LEFT_S
-        request = UpstreamRequest(render, max(timeout_s, MIN_TIME_LEFT_S), on_outcome, still_wanted)
+        request = UpstreamRequest(
+            render, max(timeout_s, MIN_TIME_LEFT_S), on_outcome, still_wanted, may_write
+        )
         pool = self._pools.get(endpoint_id)
         if pool is None:
             self._loop.call_soon(request.end, Outcome.CONNECT_FAILED)
@@ -147,7 +151,7 @@
             return request
         connection = pool.take_idle()
         if connection is not None:
-            connection.send(request)
+            self._send_on_idle(pool, connection, request)
         elif self._make_capacity():
             self._opener.open_for(pool, request)
         else:
@@ -155,6 +159,19 @@
             self._loop.call_soon(request.end, Outcome.CONNECT_FAILED)
         return request
 
+    def _send_on_idle(
+        self, pool: EndpointPool, connection: UpstreamConnection, request: UpstreamRequest
+    ) -> None:
+        if request.may_write():
+            connection.send(request)
+            return
+        pool.connection_released(connection)
+        self._loop.call_soon(request.end, Outcome.NOT_SENT)
+
+    def serving_endpoint(self, endpoint_id: EndpointId) -> Endpoint | None:
+        """The endpoint's row in the list, None where it is not listed as serving."""
+        return self._endpoints.get(endpoint_id)
+
     # Connections.
 
     def close_idle(self, endpoint_id: EndpointId) -> None:
--- a/load_balancer/proxy/upstream_connection.py
+++ b/load_balancer/proxy/upstream_connection.py
@@ -49,12 +49,26 @@
         ...
 
 
+class MayWrite(Protocol):
+    """The last check, called right before the request is written, and not again once it has allowed that."""
+
+    def __call__(self) -> bool:
+        """Whether the request may be written; whoever answers yes takes it as written."""
+        ...
+
+
+def always() -> bool:
+    """No condition."""
+    return True
+
+
 class UpstreamRequest:
     """One request to an endpoint: an attempt or a health check.  It ends once, with one outcome.
 
     Attributes:
         render: gives the bytes to send.
         still_wanted: whether the request is still to be sent when its connection comes up.
+        may_write: the last check before it is written.
         deadline: when it times out, in the loop's time.
         connection: the connection that carries it, until it ends.
         written: whether its bytes were handed to a socket, so that it may have run.
@@ -67,6 +81,7 @@
         "connection",
         "deadline",
         "ended",
+        "may_write",
         "render",
         "still_wanted",
         "written",
@@ -77,11 +92,13 @@
         render: RequestRenderer,
         timeout_s: float,
         on_outcome: OutcomeHandler,
-        still_wanted: StillWanted,
+        still_wanted: StillWanted = always,
+        may_write: MayWrite = always,
     ) -> None:
         loop = asyncio.get_running_loop()
         self.render = render
         self.still_wanted = still_wanted
+        self.may_write = may_write
         self.deadline = loop.time() + timeout_s
         self.connection: UpstreamConnection | None = None
         self.written = False
--- /dev/null
+++ b/tests/proxy/test_rule_guard.py
@@ -0,0 +1,130 @@
+"""The last check before a request is written or rejected: it holds where the policy does not."""
+
+from __future__ import annotations
+
+import pytest
+
+from load_balancer.events import Endpoint, Outcome
+from load_balancer.proxy.rule_guard import RequestGuard, Rule
+from load_balancer.settings import DeduplicationScope, Idempotency, RequestClass, Settings
+from tests.proxy.fakes import (
+    StubServer,
+    async_test,
+    reply,
+    reset,
+    row,
+    until,
+    world,
+)
+
+NEAR = Endpoint(b"near", zone=0, cell=0)
+SAME_ZONE = Endpoint(b"same-zone", zone=0, cell=1)
+FAR = Endpoint(b"far", zone=1, cell=2)
+WINDOW_MS = 500.0
+
+
+def _guard(
+    idempotency: Idempotency,
+    scope: DeduplicationScope = DeduplicationScope.ALL,
+    *,
+    hedging_allowed: bool = True,
+) -> RequestGuard:
+    request_class = RequestClass(
+        "c",
+        1000.0,
+        2000.0,
+        idempotency=idempotency,
+        deduplication_scope=scope,
+        deduplication_window_ms=WINDOW_MS,
+    )
+    settings = Settings(classes=(request_class,), max_attempts=2, hedging_allowed=hedging_allowed)
+    return RequestGuard(settings, 0)
+
+
+def _after_first(guard: RequestGuard, outcome: Outcome | None) -> RequestGuard:
+    guard.record_write(0, NEAR, 0.0)
+    if outcome is not None:
+        guard.record_outcome(0, outcome)
+    return guard
+
+
+@pytest.mark.parametrize("outcome", [Outcome.REJECTED, Outcome.CONNECT_FAILED, Outcome.NOT_SENT])
+def test_what_has_not_run_may_be_repeated_and_rejected(outcome: Outcome) -> None:
+    guard = _after_first(_guard(Idempotency.NON_IDEMPOTENT), outcome)
+    assert guard.check_write(FAR, 10.0) is None
+    assert guard.may_reject()
+
+
+@pytest.mark.parametrize("outcome", [None, Outcome.RESET, Outcome.TIMEOUT, Outcome.ERROR, Outcome.CANCELLED])
+def test_what_may_have_run_once_is_not_repeated_or_rejected(outcome: Outcome | None) -> None:
+    guard = _after_first(_guard(Idempotency.NON_IDEMPOTENT), outcome)
+    assert guard.check_write(FAR, 10.0) is Rule.REPEATED
+    assert not guard.may_reject()
+
+
+@pytest.mark.parametrize(
+    ("scope", "endpoint", "rule"),
+    [
+        (DeduplicationScope.ALL, FAR, None),
+        (DeduplicationScope.ZONE, SAME_ZONE, None),
+        (DeduplicationScope.ZONE, FAR, Rule.OUTSIDE_SCOPE),
+        (DeduplicationScope.CELL, NEAR, None),
+        (DeduplicationScope.CELL, SAME_ZONE, Rule.OUTSIDE_SCOPE),
+    ],
+)
+def test_keyed_request_is_repeated_within_scope_and_window(
+    scope: DeduplicationScope, endpoint: Endpoint, rule: Rule | None
+) -> None:
+    guard = _after_first(_guard(Idempotency.KEYED, scope), Outcome.TIMEOUT)
+    assert guard.check_write(endpoint, WINDOW_MS - 1.0) is rule
+    assert guard.check_write(NEAR, WINDOW_MS) is Rule.OUTSIDE_WINDOW
+    assert guard.may_reject() is (scope is DeduplicationScope.ALL)
+
+
+def test_limits_of_the_settings_hold() -> None:
+    guard = _after_first(_guard(Idempotency.IDEMPOTENT, hedging_allowed=False), None)
+    assert guard.check_write(FAR, 1.0) is Rule.CONCURRENT
+    guard.record_outcome(0, Outcome.RESET)
+    assert guard.check_write(FAR, 1.0) is None
+    guard.record_write(1, FAR, 1.0)
+    guard.record_outcome(1, Outcome.RESET)
+    assert guard.check_write(NEAR, 2.0) is Rule.ATTEMPT_LIMIT
+    assert _guard(Idempotency.IDEMPOTENT).check_write(None, 0.0) is Rule.NOT_SERVING
+
+
+@async_test
+async def test_repeat_that_a_faulty_policy_decides_is_not_written(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("load_balancer.policy.selection.permits", lambda *_: True)
+    async with (
+        StubServer([reset, reply("200 OK")]) as one,
+        StubServer([reset, reply("200 OK")]) as two,
+        world(row("a", one.address), row("b", two.address)) as w,
+    ):
+        client = await w.caller()
+        assert (await client.ask("book", deadline="0.5")).status >= 500
+        assert len(one.received) + len(two.received) == 1
+        assert w.node.rules.violations[Rule.REPEATED] >= 1
+
+
+@async_test
+async def test_rejection_that_a_faulty_policy_decides_is_a_failure(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("load_balancer.state.records.Request.repeatable_anywhere", lambda _: True)
+    async with StubServer([reset]) as endpoint, world(row("a", endpoint.address)) as w:
+        assert (await (await w.caller()).ask("book")).status == 502
+        assert w.node.rules.violations == {Rule.REJECTED_AFTER_RUN: 1}
+
+
+@async_test
+async def test_counters_follow_requests_and_attempts() -> None:
+    async with StubServer([reply("200 OK"), reset]) as endpoint, world(row("a", endpoint.address)) as w:
+        client = await w.caller()
+        await client.ask("look")
+        await client.ask("book")
+        client.close()
+        counters = w.node.counters
+        assert (counters.accepted, counters.written) == (2, 2)
+        assert counters.responses == {200: 1, 502: 1}
+        assert counters.outcomes == {Outcome.OK: 1, Outcome.RESET: 1}
+        summary = counters.summary(w.node.rules)
+        assert "accepted=2" in summary and "finished=not_repeatable:1" in summary
+        await until(lambda: not w.node.downstream.connections)
