--- a/fault_soak/mutations.py
+++ b/fault_soak/mutations.py
@@ -37,10 +37,17 @@
 SERVER = "load_balancer/proxy/server.py"
 LIFECYCLE = "load_balancer/proxy/lifecycle.py"
 SELECTION = "load_balancer/policy/selection.py"
+RETRIES = "load_balancer/policy/retries.py"
 SLOW_START = "load_balancer/policy/slow_start.py"
 DESCRIPTORS = "load_balancer/proxy/descriptors.py"
 EVENTS = "load_balancer/events.py"
 
+WITHOUT_LAST_CHECK = (
+    Edit(SERVER, "rule = request.guard.check_write(endpoint, now_ms)", "rule = None"),
+    Edit(SERVER, "request is not None and not request.guard.may_reject()", "request is None and True"),
+)
+"""The node's last check stands behind several guards: it is broken with them."""
+
 MUTATIONS = (
     Mutation(
         "client may have left",
@@ -66,6 +73,7 @@
         "repeat what must run once",
         frozenset({Rule.DUPLICATE}),
         (
+            *WITHOUT_LAST_CHECK,
             Edit(
                 SELECTION,
                 "return request_class.idempotency is Idempotency.IDEMPOTENT",
@@ -77,6 +85,7 @@
         "a reset counts as not run",
         frozenset({Rule.DUPLICATE, Rule.REFUSED_AFTER_RUN}),
         (
+            *WITHOUT_LAST_CHECK,
             Edit(
                 EVENTS, "Outcome.CONNECT_FAILED, Outcome.NOT_SENT}", "Outcome.CONNECT_FAILED, Outcome.RESET}"
             ),
@@ -85,12 +94,16 @@
     Mutation(
         "window not checked",
         frozenset({Rule.DUPLICATE}),
-        (Edit(SELECTION, "if latest >= first.sent_at", "if False and latest >= first.sent_at"),),
+        (
+            *WITHOUT_LAST_CHECK,
+            Edit(SELECTION, "if latest >= first.sent_at", "if False and latest >= first.sent_at"),
+        ),
     ),
     Mutation(
         "times on the wall clock",
         frozenset({Rule.DUPLICATE, Rule.LOST, Rule.DEADLINE_TOLD, Rule.INTERNAL}),
         (
+            *WITHOUT_LAST_CHECK,
             Edit(
                 "load_balancer/proxy/clock.py",
                 "return 1000.0 * (self._offset_s + time.monotonic())",
@@ -102,6 +115,7 @@
         "group of a key not checked",
         frozenset({Rule.DUPLICATE}),
         (
+            *WITHOUT_LAST_CHECK,
             Edit(
                 SELECTION,
                 "if scope is DeduplicationScope.ZONE:\n",
@@ -118,6 +132,7 @@
         "hedge where forbidden",
         frozenset({Rule.HEDGED}),
         (
+            *WITHOUT_LAST_CHECK,
             Edit(SELECTION, "if request.in_flight and not settings.hedging_allowed:", "if False:"),
             Edit("load_balancer/policy/balancer.py", "if not self.settings.hedging_allowed:", "if False:"),
         ),
@@ -126,8 +141,9 @@
         "reject after a run",
         frozenset({Rule.REFUSED_AFTER_RUN}),
         (
+            *WITHOUT_LAST_CHECK,
             Edit(
-                "load_balancer/policy/retries.py",
+                RETRIES,
                 "if not request.repeatable_anywhere() and request.first_possible_run() is not None:",
                 "if False:",
             ),
@@ -147,7 +163,7 @@
     Mutation(
         "no Retry-After",
         frozenset({Rule.RETRY_AFTER}),
-        (Edit(SERVER, 'if retry_after_ms else b""', 'if False else b""'),),
+        (Edit(SERVER, "after_s if after_s else b", "after_s if False else b"),),
     ),
     Mutation(
         "reuse with unread input",
@@ -167,17 +183,10 @@
         "attempts not limited",
         frozenset({Rule.ATTEMPT_LIMIT}),
         (
+            *WITHOUT_LAST_CHECK,
             Edit(SELECTION, "and len(request.attempts) < context.settings.max_attempts", ""),
-            Edit(
-                "load_balancer/policy/retries.py",
-                "or len(request.attempts) >= self._context.settings.max_attempts",
-                "",
-            ),
-            Edit(
-                "load_balancer/policy/retries.py",
-                "and len(request.attempts) < self._context.settings.max_attempts",
-                "",
-            ),
+            Edit(RETRIES, "if len(request.attempts) >= settings.max_attempts:", "if False:"),
+            Edit(RETRIES, "and len(request.attempts) < self._context.settings.max_attempts", ""),
         ),
     ),
     Mutation(
