--- a/tests/proxy/test_downstream.py
+++ b/tests/proxy/test_downstream.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import os
+import resource
 import socket
 import struct
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 import pytest
 
@@ -29,6 +32,7 @@
 )
 from tests.proxy.node_harness import (
     answered_client,
+    blocking_client,
     ignore_events,
     open_requests,
     read_to_end,
@@ -185,3 +189,45 @@
         newcomer.close()
         await until(lambda: not w.node.downstream.connections)
         assert not w.node.downstream.eviction_queues, "a queue holds on to what has gone"
+
+
+@contextlib.contextmanager
+def _no_free_descriptor() -> Iterator[None]:
+    """The process may open no further descriptor, as the system's table is full for a moment."""
+    lowest_free = os.dup(0)
+    os.close(lowest_free)
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (lowest_free, hard))
+    try:
+        yield
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+
+
+@async_test
+async def test_client_that_cannot_be_accepted_for_a_moment_is_served_after_it() -> None:
+    """The system has accepted its connection already: a close would reset it with its request unread."""
+    async with StubServer([reply("200 OK")]) as endpoint, world(row("a", endpoint.address)) as w:
+        warm = await w.caller()
+        assert (await warm.ask("look")).status == 200
+        with blocking_client(w.address) as client:
+            with _no_free_descriptor():
+                for _ in range(20):  # iterations of the loop
+                    await asyncio.sleep(0)
+            assert b"200 OK" in await asyncio.wait_for(asyncio.to_thread(client.recv, 4096), PATIENCE_S)
+
+
+@async_test
+async def test_connections_beyond_the_table_are_answered() -> None:
+    """With few descriptors a few more are accepted and answered 503, and others wait to be accepted."""
+    async with (
+        StubServer([held(reply("200 OK"))]) as endpoint,
+        world(row("a", endpoint.address), sockets=30) as w,
+    ):
+        clients = [await w.caller() for _ in range(12)]
+        for client in clients:
+            client.writer.write(request("look", deadline="8"))
+        await asyncio.wait_for(endpoint.got.wait(), PATIENCE_S)
+        endpoint.release.set()
+        statuses = [(await client.answer()).status for client in clients]
+        assert set(statuses) <= {200, 503} and 200 in statuses
