Accept connections only while they can be kept, and leave the others to wait

Cause: the loop's server accepts whatever the system has. Beyond the table the node closed a new connection unread, and where no descriptor was left the loop's library accepts with a spare one and closes at once; in both cases the system had accepted it before, and its request counted as received. Change: the node accepts by itself. At least two connections beyond the table get 503.

--- a/load_balancer/proxy/counters.py
+++ b/load_balancer/proxy/counters.py
@@ -27,9 +27,6 @@
     """It brought no request for the servers."""
 
     EVICTED = "evicted"
-    OVERFLOW = "overflow"
-    """It was one too many, and none could be evicted."""
-
     RESPONSE_UNREAD = "response_unread"
     LAST_RESPONSE = "last_response"
     """The response before said so: as the client asked for, for a bad request, or as the node drains."""
--- a/load_balancer/proxy/descriptors.py
+++ b/load_balancer/proxy/descriptors.py
@@ -12,6 +12,7 @@
 MIN_UPSTREAM_FRACTION = 1 / 3  # of the remainder, where the limit is tight
 # Of the limit on downstream connections: as many more are answered 503 while none can be evicted.
 OVERFLOW_FRACTION = 0.1
+MIN_OVERFLOW = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,6 +23,11 @@
     upstream: int
 
 
+def overflow_of(downstream: int) -> int:
+    """How many connections beyond the limit are accepted, to be answered 503."""
+    return max(MIN_OVERFLOW, int(OVERFLOW_FRACTION * downstream))
+
+
 def divide_descriptors(limit: int) -> DescriptorShares:
     """Divide the limit so that a side that is full leaves the other's and discovery's descriptors free."""
     remainder = limit - RESERVED_DESCRIPTORS
--- a/load_balancer/proxy/downstream.py
+++ b/load_balancer/proxy/downstream.py
@@ -3,30 +3,26 @@
 from __future__ import annotations
 
 import asyncio
-import select
 import time
 from collections.abc import Callable
 
 from load_balancer.proxy.counters import CloseReason, NodeCounters
-from load_balancer.proxy.descriptors import OVERFLOW_FRACTION
+from load_balancer.proxy.descriptors import overflow_of
 from load_balancer.proxy.downstream_connection import REAP_INTERVAL_S, DownstreamConnection
 from load_balancer.proxy.eviction import EvictionPriority, EvictionQueues
 from load_balancer.proxy.http1 import HttpMessage, HttpMessageError
+from load_balancer.proxy.listener import Listener
 from load_balancer.proxy.loop_iterations import LoopIterations
 from load_balancer.proxy.request_parsing import ParsedRequest, RequestParser
 from load_balancer.proxy.response_slot import ResponseSlot
 from load_balancer.proxy.rule_guard import RuleMonitor
-from load_balancer.proxy.socket_poll import poll_socket
 
 # While a connection is not read only a poll of its socket reveals that the client has left.  Each attempt
 # polls for itself before it begins; this ends what waits without an attempt to begin.
 DISCONNECT_CHECK_S = 0.1
 # Of the connection limit: with more idle connections that brought no request these evict one another.
 MAX_UNUSED_FRACTION = 0.5
-# With newcomers in every iteration nothing reveals when the last of them came; none waits longer than this.
-MAX_ACCEPT_DELAY_S = 1.0
 OVERLOAD_RETRY_AFTER_S = 0.5
-LISTEN_BACKLOG = 1024
 
 AcceptRequest = Callable[[ParsedRequest, ResponseSlot], None]
 
@@ -67,14 +63,14 @@
         self._accept_request = accept_request
         self._is_ready = is_ready
         self._body_bytes = 0
-        self._unaccepted_since: float | None = (
-            None  # when the first connection still unaccepted may have come
-        )
         self._loop = asyncio.get_running_loop()
         self._connections: set[DownstreamConnection] = set()
+        self._evicted: set[DownstreamConnection] = set()  # those that are not closed yet
         self._paused: set[DownstreamConnection] = set()  # those that are not read
         self._eviction_queues: EvictionQueues[DownstreamConnection] = EvictionQueues()
-        self._server: asyncio.Server | None = None
+        self._listener = Listener(
+            lambda accepted_after: DownstreamConnection(self, accepted_after), self._has_place, iterations
+        )
         self._disconnect_timer: asyncio.TimerHandle | None = None
         self._reap_timer = self._loop.call_later(REAP_INTERVAL_S, self._reap)
 
@@ -102,41 +98,26 @@
 
     def is_listening(self) -> bool:
         """Whether new connections are accepted."""
-        return self._server is not None and self._server.is_serving()
+        return self._listener.is_listening()
 
     def is_busy(self) -> bool:
         """Whether a client is still owed something, is sending, or waits to be accepted."""
-        return (
-            any(c.is_busy() or c.has_unread_input() for c in self._connections)
-            or self._has_unaccepted_connection()
-        )
-
-    def _has_unaccepted_connection(self) -> bool:
-        """Whether a client has connected and was not accepted yet: its request counts as received already."""
-        server = self._server
-        return server is not None and any(poll_socket(s.fileno(), select.POLLIN) for s in server.sockets)
+        busy = any(c.is_busy() or c.has_unread_input() for c in self._connections)
+        return busy or self._listener.has_waiting()
 
     # The listening socket.
 
-    async def listen(self, address: tuple[str, int]) -> tuple[str, int]:
-        """Listen on this address only; returns it with the port that was bound."""
-        host, port = address
-        self._server = await self._loop.create_server(
-            lambda: DownstreamConnection(self), host, port, backlog=LISTEN_BACKLOG, reuse_address=True
-        )
-        bound: tuple[str, int] = self._server.sockets[0].getsockname()[:2]
-        return bound
+    def listen(self, address: tuple[str, int]) -> tuple[str, int]:
+        """Listen on this address only; returns it with the port that was bound.  OSError if that fails."""
+        return self._listener.listen(address)
 
-    def accepted_after(self) -> float:
-        """The time after which the connection that was accepted just now has come.
-
-        The loop accepts one in an iteration: what still waits behind it may have come as early.
-        """
-        arrival = self.iterations.earliest_arrival()
-        if self._unaccepted_since is not None:
-            arrival = min(arrival, max(self._unaccepted_since, self.now() - MAX_ACCEPT_DELAY_S))
-        self._unaccepted_since = arrival if self._has_unaccepted_connection() else None
-        return arrival
+    def _has_place(self) -> bool:
+        """Whether one more connection may be accepted; else one is evicted, whose place is free later."""
+        taken = len(self._connections) + len(self._evicted) + self._listener.opening
+        if taken < self.max_connections + overflow_of(self.max_connections):
+            return True
+        self.evict_one()
+        return False
 
     def drain(self) -> None:
         """From now on every response closes its connection, and idle ones are closed at once.
@@ -151,8 +132,7 @@
 
     def end_input(self) -> None:
         """Accept no further connection and no further request; open requests can still be answered."""
-        if self._server is not None:
-            self._server.close()
+        self._listener.close()
         for connection in list(self._connections):
             connection.end_input()
 
@@ -161,8 +141,7 @@
         self._reap_timer.cancel()
         if self._disconnect_timer is not None:
             self._disconnect_timer.cancel()
-        if self._server is not None:
-            self._server.close()
+        self._listener.close()
         for connection in list(self._connections):
             connection.abort(CloseReason.STOPPED)
 
@@ -173,13 +152,15 @@
         self._connections.add(connection)
         self.update_eviction(connection)
         self.last_activity = self.now()
-        if self.is_over_limit() and not self.evict_one(connection) and self._is_overflowing():
-            connection.abort(CloseReason.OVERFLOW)
+        if self.is_over_limit():
+            self.evict_one(connection)
 
     def connection_closed(self, connection: DownstreamConnection) -> None:
         """A connection is gone."""
         self._forget(connection)
+        self._evicted.discard(connection)
         self._paused.discard(connection)
+        self._listener.place_freed()
 
     def _forget(self, connection: DownstreamConnection) -> None:
         self._connections.discard(connection)
@@ -219,8 +200,8 @@
         return len(self._connections) > self.max_connections
 
     def _is_overflowing(self) -> bool:
-        """Beyond this a new connection is closed unanswered: descriptors must not run out."""
-        return len(self._connections) > self.max_connections * (1.0 + OVERFLOW_FRACTION)
+        """So many are open that no further one is accepted: descriptors must not run out."""
+        return len(self._connections) >= self.max_connections + overflow_of(self.max_connections)
 
     def flooded_by_unused(self) -> bool:
         """Whether so many have brought no request that they can't be spared for bringing one soon."""
@@ -236,12 +217,13 @@
         """The priority that the connection is queued with; None if it is not queued."""
         return self._eviction_queues.priority_of(connection)
 
-    def evict_one(self, newest: DownstreamConnection) -> bool:
+    def evict_one(self, newest: DownstreamConnection | None = None) -> bool:
         """Close the connection that is evicted most readily; returns whether there was one."""
         now = self.now()
         for connection in self._eviction_queues.candidates():
             if connection is not newest and connection.is_evictable(now):
                 self._forget(connection)
+                self._evicted.add(connection)
                 connection.evict()
                 return True
         return False
--- a/load_balancer/proxy/downstream_connection.py
+++ b/load_balancer/proxy/downstream_connection.py
@@ -55,9 +55,6 @@
     def now(self) -> float:
         """Monotonic time in seconds."""
 
-    def accepted_after(self) -> float:
-        """The time after which the connection that was accepted just now has come."""
-
     def connection_opened(self, connection: DownstreamConnection) -> None:
         """A connection has been accepted."""
 
@@ -95,7 +92,7 @@
         answered: it has had a response.
     """
 
-    def __init__(self, owner: ConnectionOwner) -> None:
+    def __init__(self, owner: ConnectionOwner, accepted_after: float = 0.0) -> None:
         self.owner = owner
         self.waiting_since = 0.0
         self.answered = False
@@ -105,7 +102,7 @@
         self._slots: deque[ResponseSlot] = deque()
         self._input_ended = False  # its last request has come: what follows is discarded
         self._finished = False  # it has had its last response
-        self._accepted_after = 0.0
+        self._accepted_after = accepted_after
         self._arrived_at_s = 0.0  # what is being read has arrived after this time
         self._write_paused = False  # the client does not read what it is sent
         self._discarded_bytes = 0
@@ -228,7 +225,7 @@
         """Called by the event loop for an accepted connection."""
         self._transport = typing.cast(asyncio.Transport, transport)  # uvloop's are no subclass
         self.waiting_since = self.owner.now()
-        self._accepted_after = self.owner.accepted_after()
+        self.owner.iterations.mark_activity()
         self.owner.connection_opened(self)
 
     def data_received(self, data: bytes) -> None:
--- a/load_balancer/proxy/server.py
+++ b/load_balancer/proxy/server.py
@@ -193,7 +193,7 @@
         self._discovery.start(cached.version if cached is not None else 0)
         self._reload.after_start()
         self._counter_report.start()
-        host, port = await self._downstream.listen(self._config.listen)
+        host, port = self._downstream.listen(self._config.listen)
         log.info("node_listening name=%s address=%s:%d", self._config.name, host, port)
         return host, port
 
--- a/tests/proxy/test_downstream.py
+++ b/tests/proxy/test_downstream.py
@@ -224,9 +224,10 @@
         StubServer([held(reply("200 OK"))]) as endpoint,
         world(row("a", endpoint.address), sockets=30) as w,
     ):
-        clients = [await w.caller() for _ in range(12)]
-        for client in clients:
-            client.writer.write(request("look", deadline="8"))
+        clients = []
+        for _ in range(12):
+            clients.append(await w.caller())
+            clients[-1].writer.write(request("look", deadline="8"))
         await asyncio.wait_for(endpoint.got.wait(), PATIENCE_S)
         endpoint.release.set()
         statuses = [(await client.answer()).status for client in clients]
