--- a/tests/proxy/test_request_parsing.py
+++ b/tests/proxy/test_request_parsing.py
@@ -78,6 +78,16 @@
         assert not endpoint.received
 
 
+@pytest.mark.parametrize(
+    "deadline", ["2", "2.5", "0.30000000000000004", "1.2000000000000001776356839400250464677811"]
+)
+@async_test
+async def test_deadline_may_have_any_number_of_decimals(deadline: str) -> None:
+    """Languages print what they calculated with as many as it takes."""
+    async with StubServer([reply("200 OK")]) as endpoint, world(row("a", endpoint.address)) as w:
+        assert (await (await w.caller()).ask("look", deadline=deadline)).status == 200
+
+
 @pytest.mark.parametrize("hint", ["much", "0", "inf", "250000"])
 @async_test
 async def test_unusable_cost_hint_is_ignored(hint: str) -> None:
--- a/tests/test_main.py
+++ b/tests/test_main.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import fcntl
 import json
 import os
 import re
@@ -45,7 +46,9 @@
     return path, content
 
 
-async def _start(environment: dict[str, str], descriptors: int = 0) -> asyncio.subprocess.Process:
+async def _start(
+    environment: dict[str, str], descriptors: int = 0, stderr: int = asyncio.subprocess.PIPE
+) -> asyncio.subprocess.Process:
     """Start a node; where descriptors are given the system limits it to as many."""
 
     def limit_descriptors() -> None:
@@ -58,7 +61,7 @@
         command,
         cwd=ROOT,
         env={**os.environ, **environment},
-        stderr=asyncio.subprocess.PIPE,
+        stderr=stderr,
         preexec_fn=limit_descriptors if descriptors else None,
     )
 
@@ -67,18 +70,26 @@
     config: Path, discovery: StubDiscovery, descriptors: int = 0
 ) -> tuple[asyncio.subprocess.Process, tuple[str, int]]:
     """Start a node on a free port; gives it and its address once it listens."""
-    environment = {
+    process = await _start(_environment(config, discovery), descriptors)
+    assert process.stderr is not None
+    line = (await asyncio.wait_for(process.stderr.readline(), PATIENCE_S)).decode()
+    return process, _listening_address(line)
+
+
+def _environment(config: Path, discovery: StubDiscovery) -> dict[str, str]:
+    return {
         "NODE_NAME": "n0",
         "NODE_LISTEN": f"{HOST}:0",
         "NODE_DISCOVERY": discovery.address,
         "NODE_CONFIG": str(config),
     }
-    process = await _start(environment, descriptors)
-    assert process.stderr is not None
-    line = (await asyncio.wait_for(process.stderr.readline(), PATIENCE_S)).decode()
+
+
+def _listening_address(line: str) -> tuple[str, int]:
+    """The address that a node's first log line names."""
     found = re.search(r"node_listening name=n0 address=([\d.]+):(\d+)", line)
     assert found, line
-    return process, (found[1], int(found[2]))
+    return found[1], int(found[2])
 
 
 async def _until_ready(address: tuple[str, int]) -> None:
@@ -257,16 +268,8 @@
         known = listing(1, row("a", endpoint.address))
         parts = {"known": known, "settings": settings(registryMode="pushed")}
         config, content = _write_configuration(tmp_path, sockets=256, discovery=old.address, **parts)
-        process = await _start(
-            {
-                "NODE_NAME": "n0",
-                "NODE_LISTEN": f"{HOST}:0",
-                "NODE_DISCOVERY": old.address,
-                "NODE_CONFIG": str(config),
-                "NODE_START_GATE": str(gate),
-                "PYTHONPATH": str(tmp_path),
-            }
-        )
+        gate_environment = {"NODE_START_GATE": str(gate), "PYTHONPATH": str(tmp_path)}
+        process = await _start({**_environment(config, old), **gate_environment})
         opened = await asyncio.to_thread(os.open, gate, os.O_WRONLY)  # returns once the interpreter waits
         config.write_text(json.dumps({**content, "discovery": moved.address}))
         process.send_signal(signal.SIGHUP)
@@ -275,6 +278,39 @@
         await _terminate(process)
 
 
+def _fill_pipe(writing_end: int) -> None:
+    """Write to a pipe until it takes no further byte, through an open file of our own."""
+    own_end = os.open(f"/proc/self/fd/{writing_end}", os.O_WRONLY | os.O_NONBLOCK)
+    with contextlib.suppress(BlockingIOError):
+        while True:
+            os.write(own_end, b"x")
+    os.close(own_end)
+
+
+@async_test
+async def test_log_that_nobody_reads_does_not_stop_the_node(tmp_path: Path) -> None:
+    """What collects the log has stopped, and the pipe to it is full."""
+    reading_end, writing_end = os.pipe()
+    fcntl.fcntl(writing_end, fcntl.F_SETPIPE_SZ, 4096)
+    async with StubServer([reply("200 OK", b"served")]) as endpoint, StubDiscovery() as discovery:
+        known = listing(1, row("a", endpoint.address))
+        config, content = _write_configuration(tmp_path, sockets=256, known=known)
+        process = await _start(_environment(config, discovery), stderr=writing_end)
+        line = (await asyncio.to_thread(os.read, reading_end, 4096)).decode()
+        client = await Caller.connect(_listening_address(line))
+        assert (await client.ask("look")).body == b"served"
+        _fill_pipe(writing_end)
+        async with StubDiscovery() as moved:
+            config.write_text(json.dumps({**content, "discovery": moved.address}))
+            process.send_signal(signal.SIGHUP)  # which is logged
+            await moved.watch()
+            assert (await client.ask("look")).body == b"served"
+        process.send_signal(signal.SIGTERM)
+        assert await asyncio.wait_for(process.wait(), PATIENCE_S) == 0
+    os.close(reading_end)
+    os.close(writing_end)
+
+
 @async_test
 async def test_bad_configuration_is_one_line_and_exit_code_2(tmp_path: Path) -> None:
     config = tmp_path / "config.json"
