Draw harder plays: hangs through shutdowns, several servers at once, loads near capacity

The oracle excused each send after a drain whose server came back at any time later; the plays had too few requests open at the moments that matter.

--- a/fault_soak/injection.py
+++ b/fault_soak/injection.py
@@ -26,6 +26,8 @@
 OLD_AGENT_CLOSES_S = 1.0
 CLOCK_STEP_S = 3600
 NEWS_INTERVAL_S = 0.25
+HANG_AT_TERM = 0.5
+ALSO_HIT = 0.3  # the chance of every other server to be hit by a server's fault, too
 DEAD_UNNOTICED_S = 0.3
 
 AIMED_CLIENT_KINDS = frozenset({FaultKind.CLIENTS_CROWD, FaultKind.CLIENTS_PIPELINE})
@@ -143,6 +145,11 @@
     def _agent(self, fault: Fault) -> Agent:
         return self._world.agents[fault.target % len(self._world.agents)]
 
+    def _servers(self, fault: Fault) -> list[StubServer]:
+        """The target, and others that are hit with it."""
+        target, rng = self._server(fault), self._world.rng
+        return [s for s in self._world.servers if s is target or rng.random() < ALSO_HIT]
+
     def _server(self, fault: Fault) -> StubServer:
         return self._world.servers[fault.target % len(self._world.servers)]
 
@@ -158,15 +165,25 @@
         if node.name in self._world.busy_nodes or not node.alive or not node.admitted:
             return 0
         self._world.busy_nodes.add(node.name)
+        hanging = self._hang_servers() if self._world.rng.random() < HANG_AT_TERM else []
         node.signal(signal.SIGTERM)
         stop_s = self._world.rng.uniform(*NEW_CONNECTIONS_AFTER_TERM_S)
         asyncio.get_running_loop().call_later(stop_s, setattr, node, "admitted", False)
         await node.exited(self.kill_delay_s())
         await node.kill()
         await node.start()
+        for server in hanging:
+            server.misbehaviour = Misbehaviour.NONE
         self._world.busy_nodes.discard(node.name)
         return 1
 
+    def _hang_servers(self) -> list[StubServer]:
+        """Half of the servers hang, through the whole of a shutdown."""
+        hanging = [s for s in self._world.servers if self._world.rng.random() < 0.5]
+        for server in hanging:
+            server.misbehaviour = Misbehaviour.HANG
+        return hanging
+
     async def _kill_node(self, fault: Fault) -> int | None:
         node = self._node(fault)
         if node.name in self._world.busy_nodes or not node.alive:
@@ -326,12 +343,14 @@
         return 1
 
     async def _misbehave(self, fault: Fault) -> int | None:
-        server = self._server(fault)
-        before = server.fired
-        server.misbehaviour = _MISBEHAVIOURS[fault.kind]
+        servers = self._servers(fault)
+        before = sum(server.fired for server in servers)
+        for server in servers:
+            server.misbehaviour = _MISBEHAVIOURS[fault.kind]
         await asyncio.sleep(fault.length_s)
-        server.misbehaviour = Misbehaviour.NONE
-        return server.fired - before
+        for server in servers:
+            server.misbehaviour = Misbehaviour.NONE
+        return sum(server.fired for server in servers) - before
 
     async def _link(self, fault: Fault) -> int | None:
         server, state = self._server(fault), _LINK_STATES[fault.kind]
--- a/fault_soak/oracle.py
+++ b/fault_soak/oracle.py
@@ -272,7 +272,10 @@
                     continue
                 since = max(at, self._start_before(node, attempt.first_byte_at))
                 after_s = attempt.first_byte_at - since
-                replaced = any(later is Lifecycle.SERVING for _, _, later in states[i + 1 :])
+                replaced = any(
+                    later is Lifecycle.SERVING and known_at <= attempt.at
+                    for _, known_at, later in states[i + 1 :]
+                )
                 if after_s > grace_s + SOCKET_SLACK_S + self._lag_s and not replaced:
                     detail = f"{node} sent {after_s:.3f} s after generation {generation}, grace {grace_s} s"
                     yield Violation(Rule.DRAIN, f"{attempt.server} {attempt.request_id}", detail)
--- a/fault_soak/plan.py
+++ b/fault_soak/plan.py
@@ -10,6 +10,8 @@
 
 PLAY_S = 12.0
 COLD_START_FRACTION = 0.15
+MAX_LOAD_PER_S = 150.0  # what the soak's own process bears beside others
+MIN_NODE_LOAD_PER_S = 3.0
 SETTLE_S = 1.0  # before the first fault, and behind the last one's start
 
 
@@ -126,16 +128,20 @@
     cold_start = rng.random() < COLD_START_FRACTION
     if cold_start:
         kinds -= SERVER_KINDS
+    work_ms, server_slots = rng.choice(((5.0, 2), (12.0, 1), (25.0, 1), (25.0, 4), (40.0, 2)))
+    capacity_per_s = server_count * server_slots / (work_ms / 1000.0)
+    load_per_s = min(MAX_LOAD_PER_S, rng.choice((0.15, 0.4, 0.7)) * capacity_per_s)
+    requests_per_s = max(MIN_NODE_LOAD_PER_S, load_per_s / node_count)
     return Plan(
         seed=seed,
         node_count=node_count,
         server_count=server_count,
         settings=settings,
         descriptors=rng.choice((30, 48, 64, 96, 128, 256, 256, 512)),
-        requests_per_s=rng.choice((8.0, 15.0, 25.0)),
-        work_ms=rng.choice((5.0, 12.0, 25.0)),
-        server_slots=rng.choice((2, 4, 8)),
-        client_leave_fraction=rng.choice((0.0, 0.05, 0.2)),
+        requests_per_s=requests_per_s,
+        work_ms=work_ms,
+        server_slots=server_slots,
+        client_leave_fraction=rng.choice((0.0, 0.1, 0.4)),
         cold_start=cold_start,
         faults=_draw_faults(rng, seed, node_count, server_count, kinds),
     )
@@ -172,7 +178,7 @@
 
 def _draw_settings(rng: random.Random, node_count: int) -> dict[str, Any]:
     deadline_ms = rng.choice((50.0, 200.0, 600.0, 1500.0, 2500.0, 5000.0))
-    window_ms = deadline_ms * rng.choice((0.4, 0.8, 1.6, 3.0))
+    window_ms = deadline_ms * rng.choice((0.1, 0.3, 0.8, 2.0))
     group = rng.choice(("all", "zone", "cell"))
 
     def request_class(name: str, effect: str, **more: Any) -> dict[str, Any]:
@@ -196,8 +202,8 @@
             "coldMs": rng.choice((1000.0, 4000.0, 12000.0)),
             "fallMultiple": rng.choice((3.0, 4.0)),
             "mustAskInMs": rng.choice((2000.0, 6000.0)),
-            "overloadForMs": 1000.0,
-            "startCapacity": rng.choice((0.13, 0.3)),
+            "overloadForMs": rng.choice((1000.0, 3000.0)),
+            "startCapacity": rng.choice((0.05, 0.13, 0.3)),
             "stopSendingWithinMs": rng.choice((400.0, 1000.0)),
         },
         "layers": ["front"],
