Drop log lines that nobody reads in place of waiting

Cause: standard error is written by the loop; where its reader stops and the pipe is full the write blocks, and with it every client, for as long as that lasts. Change: a line is written only where standard error polls as writable, and is no longer than a pipe takes at once (PIPE_BUF).

--- a/load_balancer/logging_setup.py
+++ b/load_balancer/logging_setup.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import logging
+import select
 import sys
 import time
+from typing import TextIO
 
 LINES_PER_S = 20.0
 BURST_LINES = 100.0
+MAX_LINE_BYTES = select.PIPE_BUF
 
 UNLIMITED = {"unlimited": True}
 """The extra of a line that is written whatever the rate: for lines whose number is bounded otherwise."""
@@ -45,7 +48,32 @@
         return True
 
 
+class NonBlockingHandler(logging.StreamHandler[TextIO]):
+    """Writes lines to a stream that may be a pipe which nobody reads: a line that does not fit is dropped.
+
+    A pipe that polls as writable takes MAX_LINE_BYTES at once; the loop must never wait for a reader.
+    """
+
+    def __init__(self, stream: TextIO) -> None:
+        super().__init__(stream)
+        self._poll = select.poll()
+        self._poll.register(stream.fileno(), select.POLLOUT)
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write the line if that does not block."""
+        if self._poll.poll(0):
+            super().emit(record)
+
+    def format(self, record: logging.LogRecord) -> str:
+        """The line, shortened to what a pipe takes at once; without its end."""
+        encoded = super().format(record).encode(errors="replace")
+        return encoded[: MAX_LINE_BYTES - 1].decode(errors="ignore")
+
+
 def configure_logging() -> None:
-    """Write the lines of all loggers to standard error, at a bounded rate."""
-    logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
-    logging.getLogger().handlers[0].addFilter(LogRateLimit())
+    """Write the lines of all loggers to standard error, at a bounded rate, and never wait for its reader."""
+    logging.raiseExceptions = False  # a standard error that is closed is no reason to write to it once more
+    handler = NonBlockingHandler(sys.stderr)
+    handler.setFormatter(logging.Formatter("%(asctime)s %(levelname)s %(message)s"))
+    handler.addFilter(LogRateLimit())
+    logging.basicConfig(handlers=[handler], level=logging.INFO)
