--- a/load_balancer/proxy/request_parsing.py
+++ b/load_balancer/proxy/request_parsing.py
@@ -21,7 +21,8 @@
 MAX_DEADLINE_S = 3600.0
 MAX_COST_HINT_US = 1e9
 
-_DECIMAL = re.compile(rb"[0-9]{1,12}(\.[0-9]{1,12})?")  # float() accepts far more than the protocol
+# float() accepts far more than the protocol; languages print up to 50 decimals of what they calculated.
+_DECIMAL = re.compile(rb"[0-9]{1,12}(\.[0-9]{1,64})?")
 
 
 @dataclass(frozen=True, slots=True)
