--- a/fault_soak/clients.py
+++ b/fault_soak/clients.py
@@ -7,7 +7,7 @@
 import itertools
 import random
 import uuid
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from fault_soak.history import (
     ClientLeft,
@@ -267,8 +267,12 @@
         requests = [self._draw_request() for _ in range(count)]
         self.fired += 1
         connection.writer.write(b"".join(request.text for request in requests))
-        for request in requests:
-            self._record_sent(connection, request, resent=False)
+        due_s = 0.0
+        for position, request in enumerate(requests):
+            # Its response goes out behind the others.
+            due_s = max(due_s, request.deadline_s)
+            requests[position] = replace(request, deadline_s=due_s)
+            self._record_sent(connection, requests[position], resent=False)
         closing = False  # nothing behind a response that closes is read
         for position, request in enumerate(requests):
             try:
--- a/fault_soak/plan.py
+++ b/fault_soak/plan.py
@@ -12,6 +12,7 @@
 COLD_START_FRACTION = 0.15
 MAX_LOAD_PER_S = 150.0  # what the soak's own process bears beside others
 MIN_NODE_LOAD_PER_S = 3.0
+MAX_WORK_FRACTION = 0.25  # of the latency objective: more could not be served
 SETTLE_S = 1.0  # before the first fault, and behind the last one's start
 
 
@@ -129,6 +130,7 @@
     if cold_start:
         kinds -= SERVER_KINDS
     work_ms, server_slots = rng.choice(((5.0, 2), (12.0, 1), (25.0, 1), (25.0, 4), (40.0, 2)))
+    work_ms = min(work_ms, MAX_WORK_FRACTION * min(p["aimMs"] for p in settings["profiles"]))
     capacity_per_s = server_count * server_slots / (work_ms / 1000.0)
     load_per_s = min(MAX_LOAD_PER_S, rng.choice((0.15, 0.4, 0.7)) * capacity_per_s)
     requests_per_s = max(MIN_NODE_LOAD_PER_S, load_per_s / node_count)
