--- a/tests/proxy/test_downstream.py
+++ b/tests/proxy/test_downstream.py
@@ -12,6 +12,7 @@
 
 import pytest
 
+from load_balancer.proxy.descriptors import MIN_OVERFLOW
 from load_balancer.proxy.downstream_connection import (
     PAUSE_READING_AT,
     DownstreamConnection,
@@ -232,3 +233,19 @@
         endpoint.release.set()
         statuses = [(await client.answer()).status for client in clients]
         assert set(statuses) <= {200, 503} and 200 in statuses
+
+
+@async_test
+async def test_newcomers_in_a_small_table_have_time_for_their_requests() -> None:
+    """Each was accepted, and its request is on its way; the next one waits to be accepted."""
+    async with StubServer([reply("200 OK")]) as endpoint, world(row("a", endpoint.address), sockets=30) as w:
+        downstream = w.node.downstream
+        places = downstream.max_connections + MIN_OVERFLOW
+        clients = [await w.caller() for _ in range(places)]
+        await until(lambda: len(downstream.connections) == places)
+        clients.append(await w.caller())
+        for _ in range(20):  # iterations of the loop, in which it is not accepted
+            await asyncio.sleep(0)
+        for client in clients:
+            client.writer.write(request("look"))
+        assert {(await client.answer()).status for client in clients} <= {200, 503}
