--- a/load_balancer/proxy/downstream.py
+++ b/load_balancer/proxy/downstream.py
@@ -199,14 +199,10 @@
         """More connections than the limit, and none could be evicted: new requests are refused."""
         return len(self._connections) > self.max_connections
 
-    def _is_overflowing(self) -> bool:
-        """So many are open that no further one is accepted: descriptors must not run out."""
-        return len(self._connections) >= self.max_connections + overflow_of(self.max_connections)
-
     def flooded_by_unused(self) -> bool:
         """Whether so many have brought no request that they can't be spared for bringing one soon."""
         unused = self._eviction_queues.count(EvictionPriority.IDLE_UNUSED)
-        return unused > MAX_UNUSED_FRACTION * self.max_connections or self._is_overflowing()
+        return unused > max(MAX_UNUSED_FRACTION * self.max_connections, overflow_of(self.max_connections) + 1)
 
     def update_eviction(self, connection: DownstreamConnection) -> None:
         """Queue the connection for eviction by its present priority, behind the others."""
