--- /dev/null
+++ b/tests/fault_soak/test_oracle.py
@@ -0,0 +1,261 @@
+"""Each rule of the oracle is broken by one history, and kept by the same one with one event changed."""
+
+from __future__ import annotations
+
+import signal
+from dataclasses import replace
+
+import pytest
+
+from fault_soak.history import (
+    AttemptDone,
+    AttemptReceived,
+    AttemptResult,
+    ClientLeft,
+    EndpointNotified,
+    History,
+    HistoryEvent,
+    IncompleteRequestReleased,
+    IncompleteRequestStopped,
+    Lifecycle,
+    NodeExited,
+    NodeLogged,
+    NodeMeasured,
+    NodeReady,
+    NodeSignalled,
+    NodeStarted,
+    RequestSent,
+    ResponseMissing,
+    ResponseReceived,
+    ServerStarted,
+)
+from fault_soak.oracle import Oracle, Rule
+from fault_soak.plan import Plan, draw_plan
+from fault_soak.play import PlayResult
+from fault_soak.servers import served_body
+
+ADDRESS = "127.0.0.1:8000"
+START = NodeStarted(0.0, "n0", 1, ADDRESS)
+READY = NodeReady(0.3, "n0", 1)
+
+
+def _plan() -> Plan:
+    plan = draw_plan(1)
+    limits = {
+        **plan.settings["policyLimits"],
+        "tryLimit": 2,
+        "mayDuplicate": False,
+        "retryAfter": True,
+        "maxRetryAfterMs": 1200.0,
+    }
+    guarantees = {
+        **plan.settings["guarantees"],
+        "stopSendingWithinMs": 1000.0,
+        "coldMs": 4000.0,
+        "startCapacity": 0.1,
+        "fallMultiple": 3.0,
+        "overloadForMs": 1000.0,
+    }
+    classes = [
+        {"name": "look", "effect": "safe", "deadlineMs": 1000.0},
+        {"name": "move", "effect": "keyed", "group": "zone", "windowMs": 300.0, "deadlineMs": 1000.0},
+        {"name": "book", "effect": "unsafe", "deadlineMs": 1000.0},
+    ]
+    settings = {
+        **plan.settings,
+        "policyLimits": limits,
+        "guarantees": guarantees,
+        "profiles": classes,
+    }
+    return replace(plan, settings=settings, descriptors=64, work_ms=10.0, server_slots=1, faults=())
+
+
+def _broken(*events: HistoryEvent) -> set[Rule]:
+    history = History([START, READY, *events])
+    result = PlayResult(_plan(), history, worst_lag_s=0.0, shim_loaded=True)
+    return {violation.rule for violation in Oracle(result).violations()}
+
+
+def _sent(class_name: str = "look", at: float = 1.0) -> RequestSent:
+    return RequestSent(at, "r", "n0", 1, class_name, 1.0)
+
+
+def _received(at: float, server: str = "s0", connection: int = 1, told_s: float = 0.5) -> AttemptReceived:
+    return AttemptReceived(at, at, server, connection, ADDRESS, "r", told_s)
+
+
+def _done(at: float, result: AttemptResult, server: str = "s0", connection: int = 1) -> AttemptDone:
+    return AttemptDone(at, server, connection, "r", result)
+
+
+def _answer(status: int = 200, at: float = 1.2, body: bytes = b"", after: float | None = 0.1) -> HistoryEvent:
+    return ResponseReceived(at, "r", status, body, after)
+
+
+def test_served_request_breaks_nothing() -> None:
+    attempt = [_sent(), _received(1.1), _done(1.15, AttemptResult.SERVED)]
+    assert _broken(*attempt, _answer(body=served_body("s0", "r"))) == set()
+
+
+@pytest.mark.parametrize(
+    ("kept", "broken", "rule"),
+    [
+        pytest.param([_sent(), _answer(502, at=2.4)], [_sent(), _answer(502, at=2.6)], Rule.LOST, id="late"),
+        pytest.param(
+            [_sent(), ResponseMissing(1.1, "r", True, True)],
+            [_sent(), _received(1.05), ResponseMissing(1.1, "r", True, True)],
+            Rule.LOST,
+            id="closed with an attempt",
+        ),
+        pytest.param(
+            [_sent(), ResponseMissing(1.1, "r", True, True)],
+            [_sent(), ResponseMissing(1.1, "r", True, False)],
+            Rule.CLOSED_UNREAD,
+            id="closed unread",
+        ),
+        pytest.param(
+            [_sent(), NodeSignalled(1.1, "n0", 1, signal.SIGKILL), ResponseMissing(1.1, "r", True, False)],
+            [_sent(), NodeSignalled(2.9, "n0", 1, signal.SIGKILL), ResponseMissing(2.7, "r", False, False)],
+            Rule.LOST,
+            id="killed before it was due, or after",
+        ),
+        pytest.param(
+            [_sent("book"), _received(1.1), _done(1.1, AttemptResult.REJECTED), _received(1.2, "s1", 2)],
+            [_sent("book"), _received(1.1), _done(1.1, AttemptResult.ERROR), _received(1.2, "s1", 2)],
+            Rule.DUPLICATE,
+            id="unsafe",
+        ),
+        pytest.param(
+            [_sent("move"), _received(1.1), _done(1.2, AttemptResult.ERROR), _received(1.3, "s2", 2)],
+            [_sent("move"), _received(1.1), _done(1.2, AttemptResult.ERROR), _received(1.3, "s1", 2)],
+            Rule.DUPLICATE,
+            id="another zone",
+        ),
+        pytest.param(
+            [_sent("move"), _received(1.1), _done(1.2, AttemptResult.ERROR), _received(1.4, "s2", 2)],
+            [_sent("move"), _received(1.1), _done(1.2, AttemptResult.ERROR), _received(1.5, "s2", 2)],
+            Rule.DUPLICATE,
+            id="past the window",
+        ),
+        pytest.param(
+            [_sent("book"), _received(1.1), _done(1.1, AttemptResult.REJECTED), _answer(503)],
+            [_sent("book"), _received(1.1), _done(1.1, AttemptResult.ABANDONED), _answer(503)],
+            Rule.REFUSED_AFTER_RUN,
+            id="refused after a run",
+        ),
+        pytest.param(
+            [_sent(), _answer(503)], [_sent(), _answer(503, after=None)], Rule.RETRY_AFTER, id="no wait"
+        ),
+        pytest.param(
+            [_sent(), _answer(503)], [_sent(), _answer(503, after=9.0)], Rule.RETRY_AFTER, id="long wait"
+        ),
+        pytest.param(
+            [_sent(), _received(1.1), _done(1.2, AttemptResult.ABANDONED), _received(1.2, "s1", 2)],
+            [_sent(), _received(1.1), _done(1.9, AttemptResult.ABANDONED), _received(1.2, "s1", 2)],
+            Rule.HEDGED,
+            id="hedged",
+        ),
+        pytest.param(
+            [_sent(), *(e for i in range(2) for e in (_received(1.1), _done(1.1, AttemptResult.REJECTED)))],
+            [_sent(), *(e for i in range(3) for e in (_received(1.1), _done(1.1, AttemptResult.REJECTED)))],
+            Rule.ATTEMPT_LIMIT,
+            id="too many attempts",
+        ),
+        pytest.param(
+            [EndpointNotified(0.5, "n0", "s0", Lifecycle.DRAINING, 2), _sent(at=1.4), _received(1.5)],
+            [EndpointNotified(0.5, "n0", "s0", Lifecycle.DRAINING, 2), _sent(at=1.4), _received(1.6)],
+            Rule.DRAIN,
+            id="past the grace",
+        ),
+        pytest.param(
+            [_sent(), ClientLeft(1.2, "r"), _received(1.3)],
+            [_sent(), ClientLeft(1.2, "r"), _received(1.4)],
+            Rule.CLIENT_GONE,
+            id="client gone",
+        ),
+        pytest.param(
+            [_sent(), _received(1.1, told_s=1.0)],
+            [_sent(), _received(1.1, told_s=1.1)],
+            Rule.DEADLINE_TOLD,
+            id="told too much",
+        ),
+        pytest.param(
+            [_sent(), _received(1.1, told_s=0.001)],
+            [_sent(), _received(1.1, told_s=-0.001)],
+            Rule.DEADLINE_TOLD,
+            id="told nothing",
+        ),
+        pytest.param(
+            [_sent(), _received(1.1), _answer(body=served_body("s0", "r"))],
+            [_sent(), _received(1.1), _answer(body=served_body("s0", "another"))],
+            Rule.WRONG_BODY,
+            id="wrong body",
+        ),
+        pytest.param(
+            [ServerStarted(1.0, "s0", True), _sent(), *(_received(1.5, connection=i) for i in range(40))],
+            [ServerStarted(1.0, "s0", True), _sent(), *(_received(1.5, connection=i) for i in range(80))],
+            Rule.SLOW_START,
+            id="cold server",
+        ),
+        pytest.param(
+            [NodeSignalled(1.0, "n0", 1, signal.SIGTERM), NodeExited(1.6, "n0", 1, 0)],
+            [NodeSignalled(1.0, "n0", 1, signal.SIGHUP), NodeExited(1.0, "n0", 1, -1)],
+            Rule.CRASH,
+            id="crash",
+        ),
+        pytest.param(
+            [NodeSignalled(1.0, "n0", 1, signal.SIGTERM), NodeExited(1.6, "n0", 1, 0)],
+            [NodeSignalled(1.0, "n0", 1, signal.SIGTERM), NodeExited(1.6, "n0", 1, 120)],
+            Rule.EXIT_CODE,
+            id="exit code",
+        ),
+        pytest.param(
+            [IncompleteRequestStopped(1.0, 1, "n0", 1), IncompleteRequestReleased(3.5, 1)],
+            [IncompleteRequestStopped(1.0, 1, "n0", 1), IncompleteRequestReleased(4.5, 1)],
+            Rule.BAD_CLIENT,
+            id="stopped client",
+        ),
+        pytest.param(
+            [NodeMeasured(1.0, "n0", 1, 64, 20_000)],
+            [NodeMeasured(1.0, "n0", 1, 65, 20_000)],
+            Rule.DESCRIPTORS,
+            id="descriptors",
+        ),
+        pytest.param(
+            [NodeMeasured(1.0, "n0", 1, 20, 190_000)],
+            [NodeMeasured(1.0, "n0", 1, 20, 193_000)],
+            Rule.MEMORY,
+            id="memory",
+        ),
+        pytest.param(
+            [NodeLogged(1.0, "n0", 1, "INFO shutdown_started open_requests=0")],
+            [NodeLogged(1.0, "n0", 1, "ERROR policy_failed event=RequestArrived")],
+            Rule.INTERNAL,
+            id="internal fault",
+        ),
+    ],
+)
+def test_rule_tells_kept_from_broken(
+    kept: list[HistoryEvent], broken: list[HistoryEvent], rule: Rule
+) -> None:
+    assert rule not in _broken(*kept)
+    assert rule in _broken(*broken)
+
+
+def test_counters_that_miss_an_attempt_are_found() -> None:
+    end = [NodeSignalled(2.0, "n0", 1, signal.SIGTERM), NodeExited(2.6, "n0", 1, 0)]
+    events = [_sent(), _received(1.1), _done(1.2, AttemptResult.ERROR), _answer(502)]
+    counted = NodeLogged(2.5, "n0", 1, "INFO node_counters accepted=1 abandoned=0 written=1 responses=502:1")
+    missed = replace(counted, line=counted.line.replace("written=1", "written=0"))
+    assert Rule.COUNTERS not in _broken(*events, counted, *end)
+    assert Rule.COUNTERS in _broken(*events, missed, *end)
+
+
+def test_node_that_sends_nothing_for_seconds_is_starved() -> None:
+    requests: list[HistoryEvent] = []
+    for i in range(20):
+        sent = RequestSent(1.0 + 0.25 * i, f"r{i}", "n0", 1, "look", 1.0)
+        requests += [sent, ResponseReceived(sent.at + 0.05, sent.request_id, 503, b"", 0.1)]
+    attempt = AttemptReceived(3.0, 3.0, "s0", 1, ADDRESS, "r8", 0.5)
+    assert Rule.STARVED in _broken(*requests)
+    assert Rule.STARVED not in _broken(*requests, attempt)
--- /dev/null
+++ b/tests/fault_soak/test_plan.py
@@ -0,0 +1,25 @@
+"""Plans are drawn from their seeds alone, and consecutive seeds meet every pair of faults."""
+
+from __future__ import annotations
+
+from fault_soak.plan import ALL_PAIRS, PLAY_S, FaultKind, draw_plan
+
+
+def test_plan_depends_on_its_seed_alone() -> None:
+    assert draw_plan(5) == draw_plan(5)
+    assert draw_plan(5) != draw_plan(6)
+
+
+def test_consecutive_seeds_force_every_pair_of_kinds_to_overlap() -> None:
+    met: set[frozenset[FaultKind]] = set()
+    for seed in range(len(ALL_PAIRS)):
+        faults = draw_plan(seed).faults
+        met |= {frozenset((a.kind, b.kind)) for a in faults for b in faults if a is not b and a.overlaps(b)}
+    cold = sum(1 for seed in range(len(ALL_PAIRS)) if draw_plan(seed).cold_start)
+    assert len(met) > len(ALL_PAIRS) - cold
+    assert len(met) >= 0.95 * len(ALL_PAIRS)
+
+
+def test_faults_end_within_the_play() -> None:
+    for seed in range(50):
+        assert all(fault.begin_s + fault.length_s <= PLAY_S for fault in draw_plan(seed).faults)
