--- a/tests/proxy/test_connection_opener.py
+++ b/tests/proxy/test_connection_opener.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import errno
+import os
 from typing import Any
 
 import pytest
@@ -114,3 +116,50 @@
         assert await future == (Outcome.NOT_SENT, b"")
         await asyncio.wait_for(endpoint.left.wait(), PATIENCE_S)
         assert not endpoint.received and not harness.pools.pools[0].has_idle
+
+
+class FailingConnects:
+    """The node's own machine can open no connection until it is over.
+
+    Attributes:
+        failed: how many connects have failed so.
+        over: connects work from now on.
+    """
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch, error: int) -> None:
+        loop = asyncio.get_running_loop()
+        self.failed = 0
+        self.over = False
+        self._error = error
+        self._create_connection = loop.create_connection
+        monkeypatch.setattr(loop, "create_connection", self._connect)
+
+    async def _connect(self, factory: Any, host: str, port: int, **options: Any) -> Any:
+        if not self.over:
+            self.failed += 1
+            raise OSError(self._error, os.strerror(self._error))
+        return await self._create_connection(factory, host, port, **options)
+
+
+@async_test
+async def test_request_waits_until_the_machine_can_connect_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    for error in (errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.EAGAIN, errno.ENFILE, errno.ENOBUFS):
+        async with StubServer([reply("200 OK", b"x")]) as endpoint, upstream(endpoint.address) as harness:
+            failing = FailingConnects(monkeypatch, error)
+            _, future = harness.start()
+            await until(lambda failing=failing: failing.failed)  # type: ignore[misc]
+            await asyncio.sleep(0)
+            failing.over = True
+            assert await future == (Outcome.OK, b"x"), errno.errorcode[error]
+            assert len(endpoint.received) == 1
+
+
+@async_test
+async def test_machine_that_cannot_connect_is_no_fault_of_the_endpoint(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async with StubServer([reply("200 OK")]) as endpoint, upstream(endpoint.address) as harness:
+        failing = FailingConnects(monkeypatch, errno.EADDRNOTAVAIL)
+        assert await harness.send(timeout_s=0.3) == (Outcome.NOT_SENT, b"")
+        assert 2 <= failing.failed <= 30, "with a backoff"
+        assert not harness.pools.pending_connects
