Wait for a connect that fails on the node's own machine, and charge no server with it

Change: for EADDRNOTAVAIL, EAGAIN, EMFILE, ENETDOWN, ENETUNREACH, ENFILE, ENOBUFS and ENOMEM the opener connects again after 10 to 100 ms within the request's time; if that runs out the attempt was not sent, which moves no average. An attempt that is late for its window then is withheld by the last check.

--- a/load_balancer/proxy/connection_opener.py
+++ b/load_balancer/proxy/connection_opener.py
@@ -7,6 +7,8 @@
 from __future__ import annotations
 
 import asyncio
+import errno
+import logging
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -20,6 +22,23 @@
 # A handshake whose first packet was lost completes when that is sent again, after a second (RFC 6298).  The
 # connection is then still of use for a later request.
 MAX_CONNECT_S = 2.0
+# What says nothing of the endpoint: the node's own machine is short of something, as a rule for a moment.
+LOCAL_ERRORS = frozenset(
+    {
+        errno.EADDRNOTAVAIL,
+        errno.EAGAIN,
+        errno.EMFILE,
+        errno.ENETDOWN,
+        errno.ENETUNREACH,
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+    }
+)
+FIRST_LOCAL_RETRY_S = 0.01
+MAX_LOCAL_RETRY_S = 0.1
+
+log = logging.getLogger(__name__)
 
 
 @dataclass(eq=False, slots=True)
@@ -31,12 +50,14 @@
         timeout: ends it when no connection has come up in time.
         race: starts another connection; None where there is none to start.
         connections: how many have been started for it.
+        local_failures: connects that failed in a row on the node's own machine.
     """
 
     request: UpstreamRequest
     timeout: asyncio.TimerHandle
     race: asyncio.TimerHandle | None = None
     connections: int = 0
+    local_failures: int = 0
 
     def cancel_timers(self) -> None:
         """It waits no longer."""
@@ -108,21 +129,49 @@
                 _, connection = await self._loop.create_connection(
                     lambda: UpstreamConnection(pool.name, pool), host, port
                 )
-        except (OSError, TimeoutError):
-            self._give_up(pool, request)
+        except (OSError, TimeoutError) as error:
+            if isinstance(error, OSError) and error.errno in LOCAL_ERRORS:
+                self._retry_later(pool, request, error)
+            else:
+                self._give_up(pool, request)
             return
         if connection.is_open():
             self._on_connected(pool, connection)
         else:
             self._give_up(pool, request)
 
+    def _retry_later(self, pool: EndpointPool, request: UpstreamRequest, error: OSError) -> None:
+        """Connect again after a backoff, within the request's own time; the endpoint is not to blame."""
+        waiting = self._find(pool, request)
+        if waiting is None:
+            return
+        waiting.cancel_timers()
+        request.held_up_locally = True
+        if waiting.local_failures == 0:
+            log.warning("connect_failed_locally endpoint=%s problem=%s", pool.name, error)
+        delay_s = min(MAX_LOCAL_RETRY_S, FIRST_LOCAL_RETRY_S * 2.0**waiting.local_failures)
+        waiting.local_failures += 1
+        waiting.race = self._loop.call_later(delay_s, self._connect_again, pool, waiting)
+
+    def _connect_again(self, pool: EndpointPool, waiting: _WaitingRequest) -> None:
+        request = waiting.request
+        if request.ended or pool.retired or not request.still_wanted():
+            self._stop_waiting(pool, waiting)
+            request.end(Outcome.NOT_SENT)
+            return
+        waiting.connections = 0
+        waiting.timeout = self._loop.call_later(self._connect_timeout_s, self._give_up, pool, request)
+        self._start_connection(pool, waiting)
+
+    def _find(self, pool: EndpointPool, request: UpstreamRequest) -> _WaitingRequest | None:
+        return next((w for w in self._waiting.get(pool, ()) if w.request is request), None)
+
     def _give_up(self, pool: EndpointPool, request: UpstreamRequest) -> None:
         """No connection is to be had for this request, if it still waits for one."""
-        for waiting in self._waiting.get(pool, ()):
-            if waiting.request is request:
-                self._stop_waiting(pool, waiting)
-                request.end(Outcome.CONNECT_FAILED)
-                return
+        waiting = self._find(pool, request)
+        if waiting is not None:
+            self._stop_waiting(pool, waiting)
+            request.end(Outcome.CONNECT_FAILED)
 
     def _stop_waiting(self, pool: EndpointPool, waiting: _WaitingRequest) -> None:
         waiting.cancel_timers()
--- a/load_balancer/proxy/counters.py
+++ b/load_balancer/proxy/counters.py
@@ -45,6 +45,7 @@
         responses: responses by status, readiness checks among them.
         finished: answers without a served attempt, by reason.
         written: attempts that were written.
+        withheld: attempts that came to be written after their idempotency window, and were not.
         outcomes: ended attempts by outcome.
         closed: client connections that the node closed, by reason.
     """
@@ -52,6 +53,7 @@
     accepted: int = 0
     abandoned: int = 0
     written: int = 0
+    withheld: int = 0
     responses: Counter[int] = field(default_factory=Counter)
     finished: Counter[FinishReason] = field(default_factory=Counter)
     outcomes: Counter[Outcome] = field(default_factory=Counter)
@@ -63,6 +65,7 @@
             "accepted": str(self.accepted),
             "abandoned": str(self.abandoned),
             "written": str(self.written),
+            "withheld": str(self.withheld),
             "responses": _listed({str(status): count for status, count in sorted(self.responses.items())}),
             "finished": _listed({reason.value: count for reason, count in self.finished.items()}),
             "outcomes": _listed({outcome.value: count for outcome, count in self.outcomes.items()}),
--- a/load_balancer/proxy/server.py
+++ b/load_balancer/proxy/server.py
@@ -442,6 +442,10 @@
         rule = request.guard.check_write(endpoint, now_ms)
         if attempt.request_id not in self._requests:
             rule = Rule.FINISHED
+        if rule is Rule.OUTSIDE_WINDOW:
+            # Its connection was held up on the node's own machine for longer than the policy could know.
+            self._counters.withheld += 1
+            return False
         if rule is not None or endpoint is None:
             fields = {"request": request.client_id.decode(), "endpoint": attempt.endpoint_id.decode()}
             self._rules.report(rule or Rule.NOT_SERVING, attempt=attempt.number, **fields)
--- a/load_balancer/proxy/upstream_connection.py
+++ b/load_balancer/proxy/upstream_connection.py
@@ -71,6 +71,7 @@
         may_write: the last check before it is written.
         deadline: when it times out, in the loop's time.
         connection: the connection that carries it, until it ends.
+        held_up_locally: whether the node's own machine has failed to connect for it.
         written: whether its bytes were handed to a socket, so that it may have run.
         ended: whether the outcome has been reported.
     """
@@ -81,6 +82,7 @@
         "connection",
         "deadline",
         "ended",
+        "held_up_locally",
         "may_write",
         "render",
         "still_wanted",
@@ -101,6 +103,7 @@
         self.may_write = may_write
         self.deadline = loop.time() + timeout_s
         self.connection: UpstreamConnection | None = None
+        self.held_up_locally = False
         self.written = False
         self.ended = False
         self._on_outcome = on_outcome
@@ -130,7 +133,10 @@
         self.end(outcome)
 
     def _time_out(self) -> None:
-        self.cancel(Outcome.TIMEOUT if self.written else Outcome.CONNECT_FAILED)
+        if self.written:
+            self.cancel(Outcome.TIMEOUT)
+        else:
+            self.cancel(Outcome.NOT_SENT if self.held_up_locally else Outcome.CONNECT_FAILED)
 
 
 class ConnectionOwner(Protocol):
