--- a/fault_soak/__main__.py
+++ b/fault_soak/__main__.py
@@ -19,7 +19,7 @@
 from fault_soak.history import FaultEnded, NodeLogged, RequestSent, ResponseReceived
 from fault_soak.mutations import MUTATIONS, Mutation, mutated_tree
 from fault_soak.oracle import Oracle
-from fault_soak.plan import Plan, draw_plan
+from fault_soak.plan import FaultKind, Plan, draw_plan
 from fault_soak.play import PlayResult, play
 
 ROOT = Path(__file__).parent.parent
@@ -43,6 +43,7 @@
 def _parse(arguments: list[str] | None) -> argparse.Namespace:
     parser = argparse.ArgumentParser(prog="python -m fault_soak", description=__doc__)
     parser.add_argument("--seeds", default="1", help="a seed, or a range such as 1-20")
+    parser.add_argument("--kinds", default="", help="draw faults of these kinds alone: node-term,link-late")
     parser.add_argument("--faults", default="", help="play these faults of the schedule alone: 2,5")
     parser.add_argument("--tree", type=Path, default=ROOT, help="the checkout whose node is played")
     parser.add_argument("--parallel", type=int, default=2, help="plays at a time")
@@ -60,8 +61,12 @@
         yield from range(int(first), int(last or first) + 1)
 
 
+def _kinds(text: str) -> frozenset[FaultKind]:
+    return frozenset(FaultKind(name) for name in text.split(",")) if text else frozenset(FaultKind)
+
+
 def _play_one(seed: int, options: argparse.Namespace) -> int:
-    plan = draw_plan(seed)
+    plan = draw_plan(seed, _kinds(options.kinds))
     if options.faults:
         plan = plan.with_faults(frozenset(int(i) for i in options.faults.split(",")))
     if options.shrink:
@@ -104,7 +109,8 @@
     """The first seed whose play breaks one of the mutation's rules, and how; empty if none does."""
     names = {rule.value for rule in mutation.rules}
     with mutated_tree(ROOT, mutation) as tree:
-        options = argparse.Namespace(tree=tree, json=tree)
+        kinds = ",".join(sorted(kind.value for kind in mutation.kinds))
+        options = argparse.Namespace(tree=tree, json=tree, kinds=kinds)
         for count, seed in enumerate(seeds, 1):
             violations = _play_in_process(seed, options, quiet=True)["violations"]
             assert isinstance(violations, list)
@@ -118,7 +124,7 @@
     path = Path(f"/tmp/fault-soak-{seed}.json") if options.json is None else options.json / f"{seed}.json"
     path.unlink(missing_ok=True)
     command = [sys.executable, "-m", "fault_soak", "--seeds", str(seed), "--json", str(path)]
-    command += ["--tree", str(options.tree)]
+    command += ["--tree", str(options.tree), "--kinds", options.kinds]
     done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, check=False)
     if not path.exists():
         return {"seed": seed, "violations": [f"the soak itself failed: {done.stderr[-2000:]}"], "faults": []}
--- a/fault_soak/mutations.py
+++ b/fault_soak/mutations.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 
 from fault_soak.oracle import Rule
+from fault_soak.plan import FaultKind
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,11 +24,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Mutation:
-    """A guard that is broken, and the rules by which that may show."""
+    """A guard that is broken.
+
+    Attributes:
+        name: the guard.
+        rules: the rules by which that may show.
+        edits: what breaks it.
+        kinds: the faults under which it matters; all where it always does.
+    """
 
     name: str
     rules: frozenset[Rule]
     edits: tuple[Edit, ...]
+    kinds: frozenset[FaultKind] = frozenset(FaultKind)
 
 
 class MutationError(Exception):
@@ -57,6 +66,9 @@
             Edit(SERVER, "return not slot.client_has_left()", "return True"),
             Edit(SERVER, "slot.on_abandoned = lambda: self._abandon(request_id)", "pass"),
         ),
+        frozenset(
+            {FaultKind.CLIENTS_LEAVE, FaultKind.SERVER_HANG, FaultKind.SERVER_ERRORS, FaultKind.LINK_SILENT}
+        ),
     ),
     Mutation(
         "send after a drain",
@@ -98,6 +110,7 @@
             *WITHOUT_LAST_CHECK,
             Edit(SELECTION, "if latest >= first.sent_at", "if False and latest >= first.sent_at"),
         ),
+        frozenset({FaultKind.SERVER_HANG, FaultKind.LINK_SILENT, FaultKind.LINK_RESET_RESPONSE}),
     ),
     Mutation(
         "times on the wall clock",
@@ -136,6 +149,7 @@
             Edit(SELECTION, "if request.in_flight and not settings.hedging_allowed:", "if False:"),
             Edit("load_balancer/policy/balancer.py", "if not self.settings.hedging_allowed:", "if False:"),
         ),
+        frozenset({FaultKind.SERVER_HANG, FaultKind.LINK_SILENT}),
     ),
     Mutation(
         "reject after a run",
@@ -178,6 +192,7 @@
             Edit("load_balancer/proxy/endpoint_pool.py", " and connection.has_no_unread_input()", ""),
             Edit("load_balancer/proxy/upstream_connection.py", " and not self._reader.surplus", ""),
         ),
+        frozenset({FaultKind.SERVER_GARBLE, FaultKind.NODE_PAUSE}),
     ),
     Mutation(
         "attempts not limited",
@@ -199,6 +214,7 @@
                 "return True",
             ),
         ),
+        frozenset({FaultKind.SERVER_CRASH, FaultKind.LOAD_BURST}),
     ),
     Mutation(
         "descriptors not divided",
@@ -210,6 +226,7 @@
                 "RESERVED_DESCRIPTORS = -500",
             ),
         ),
+        frozenset({FaultKind.CLIENTS_CROWD, FaultKind.WATCH_RESET}),
     ),
 )
 
--- a/fault_soak/oracle.py
+++ b/fault_soak/oracle.py
@@ -55,6 +55,7 @@
 STARVED_S = 4.0
 STARVED_REQUESTS = 15
 REFUSALS = (429, 503)
+CONNECT_EJECTION = re.compile(r"endpoint_ejected .*outcome=connect_failed")
 WRITTEN_COUNT = re.compile(r"node_counters .*\bwritten=(\d+)")
 FAULT_LINES = re.compile(
     r"policy_failed|action_failed|request_failed|request_read_failed|response_overdue|Traceback|invariant_"
@@ -88,6 +89,9 @@
     DESCRIPTORS = "descriptors"
     MEMORY = "memory"
     INTERNAL = "internal-fault"
+    CHARGED = "charged-for-local-failure"
+    """A server was ejected for connects that failed on the node's own machine."""
+
     COUNTERS = "counters"
     """A node's own counts and the history disagree."""
 
@@ -142,6 +146,7 @@
             self._check_bad_clients,
             self._check_limits,
             self._check_logs,
+            self._check_ejections,
             self._check_counters,
         )
         return [violation for check in checks for violation in check()]
@@ -440,6 +445,18 @@
             if FAULT_LINES.search(logged.line):
                 yield Violation(Rule.INTERNAL, f"{logged.node}/{logged.incarnation}", logged.line)
 
+    def _check_ejections(self) -> Iterator[Violation]:
+        """No server is ejected for what the node's own machine failed in."""
+        local = self._spans(FaultKind.SYSCALL_CONNECT, FaultKind.SYSCALL_SOCKET)
+        remote = self._spans(*SERVER_KINDS)
+        for logged in self._history.of(NodeLogged):
+            if CONNECT_EJECTION.search(logged.line) is None:
+                continue
+            during = any(b <= logged.at <= e + 0.1 for b, e, node in local if node == logged.node)
+            excused = any(b <= logged.at <= e + 3.0 for b, e, _ in remote)
+            if during and not excused:
+                yield Violation(Rule.CHARGED, f"{logged.node}/{logged.incarnation}", logged.line)
+
     def _check_counters(self) -> Iterator[Violation]:
         """A node that ended by itself has counted every attempt that servers received from it."""
         for life, start in self._starts.items():
--- a/fault_soak/plan.py
+++ b/fault_soak/plan.py
@@ -127,7 +127,7 @@
     server_count = rng.choice((1, 2, 4, 6, 8)) if rng.random() < 0.5 else rng.choice((4, 6))
     settings = _draw_settings(rng, node_count)
     cold_start = rng.random() < COLD_START_FRACTION
-    if cold_start:
+    if cold_start and len(kinds - SERVER_KINDS) >= 2:
         kinds -= SERVER_KINDS
     work_ms, server_slots = rng.choice(((5.0, 2), (12.0, 1), (25.0, 1), (25.0, 4), (40.0, 2)))
     work_ms = min(work_ms, MAX_WORK_FRACTION * min(p["aimMs"] for p in settings["profiles"]))
