Test that wake-ups do not multiply while a timer is always pending

Seen as a node that a failed test had left running before a discovery that was gone: after 27 minutes it used 60% of a core, and had asked for 38 million timers.

--- /dev/null
+++ b/tests/fault_soak/test_short_play.py
@@ -0,0 +1,20 @@
+"""A short run of the fault test: fixed seeds, real nodes, every rule of the oracle."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+import pytest
+
+from fault_soak.oracle import Oracle
+from fault_soak.plan import draw_plan
+from fault_soak.play import play
+
+ROOT = Path(__file__).parent.parent.parent
+
+
+@pytest.mark.parametrize("seed", [1, 8, 66])
+def test_fixed_seed_breaks_no_rule(seed: int) -> None:
+    result = asyncio.run(play(draw_plan(seed), ROOT))
+    assert [str(violation) for violation in Oracle(result).violations()] == []
--- a/tests/policy/environment.py
+++ b/tests/policy/environment.py
@@ -221,6 +221,11 @@
 
     # ---------------------------------------------------------------- observations
 
+    @property
+    def pending_wake_ups(self) -> int:
+        """How many timers the balancer has asked for that have not fired."""
+        return len(self._timers)
+
     def in_flight(self, request: int) -> Iterator[int]:
         """The attempts of a request in flight; one that is sent during the iteration comes up too."""
         attempts = self.requests[request].attempts
--- a/tests/policy/test_endpoints.py
+++ b/tests/policy/test_endpoints.py
@@ -167,3 +167,14 @@
     before = host.polls
     host.advance(0.5 * POLLING.poll_within_ms)
     assert host.polls == before + 1
+
+
+def test_wake_ups_do_not_multiply_while_polls_fail() -> None:
+    """A timer is always pending then, and each shorter one behind it left a wake-up that never went away."""
+    host = make_host(poll_endpoint_list=True, poll_within_ms=6000.0)
+    for step in range(300):
+        if step % 5 == 0:
+            host.fail_poll()
+        host.serve(1)
+        host.advance(100.0)
+    assert host.pending_wake_ups <= 10
