Spare newcomers in a small table for 50 ms, and evict a crowd of them as before

Five or more unused connections that fill half of the table are evicted at once again, fewer after 50 ms.

--- a/load_balancer/proxy/downstream.py
+++ b/load_balancer/proxy/downstream.py
@@ -8,7 +8,7 @@
 
 from load_balancer.proxy.counters import CloseReason, NodeCounters
 from load_balancer.proxy.descriptors import overflow_of
-from load_balancer.proxy.downstream_connection import REAP_INTERVAL_S, DownstreamConnection
+from load_balancer.proxy.downstream_connection import EVICTABLE_AFTER_S, REAP_INTERVAL_S, DownstreamConnection
 from load_balancer.proxy.eviction import EvictionPriority, EvictionQueues
 from load_balancer.proxy.http1 import HttpMessage, HttpMessageError
 from load_balancer.proxy.listener import Listener
@@ -22,6 +22,8 @@
 DISCONNECT_CHECK_S = 0.1
 # Of the connection limit: with more idle connections that brought no request these evict one another.
 MAX_UNUSED_FRACTION = 0.5
+MIN_CROWD = 5  # connections; fewer are no crowd, however small the table
+SMALL_TABLE_GRACE_S = 0.05  # for a newcomer's request to come where the table is smaller than that
 OVERLOAD_RETRY_AFTER_S = 0.5
 
 AcceptRequest = Callable[[ParsedRequest, ResponseSlot], None]
@@ -199,10 +201,16 @@
         """More connections than the limit, and none could be evicted: new requests are refused."""
         return len(self._connections) > self.max_connections
 
-    def flooded_by_unused(self) -> bool:
-        """Whether so many have brought no request that they can't be spared for bringing one soon."""
+    def newcomer_grace_s(self) -> float:
+        """For how long a connection that brought no request yet is spared when places are short.
+
+        Where such connections fill half of the table they are a crowd, and none of them is waited for.  In a
+        small table one or two of them are half of it, and say nothing: their requests are on their way.
+        """
         unused = self._eviction_queues.count(EvictionPriority.IDLE_UNUSED)
-        return unused > max(MAX_UNUSED_FRACTION * self.max_connections, overflow_of(self.max_connections) + 1)
+        if unused <= MAX_UNUSED_FRACTION * self.max_connections:
+            return EVICTABLE_AFTER_S
+        return 0.0 if unused >= MIN_CROWD else SMALL_TABLE_GRACE_S
 
     def update_eviction(self, connection: DownstreamConnection) -> None:
         """Queue the connection for eviction by its present priority, behind the others."""
--- a/load_balancer/proxy/downstream_connection.py
+++ b/load_balancer/proxy/downstream_connection.py
@@ -35,6 +35,9 @@
 UNUSED_IDLE_TIMEOUT_S = 2.25
 IDLE_TIMEOUT_S = 60.0
 EVICTABLE_AFTER_S = 0.5  # when the table is full, a request that is not complete by now gives up its place
+EVICTABLE_IN_FLOOD_S = (
+    0.05  # the same where unused connections fill the table: a request comes with its client
+)
 LINGER_S = (
     0.5  # for the client to read an early response: closing on unread input resets the connection at once
 )
@@ -73,8 +76,8 @@
     def reading_resumed(self, connection: DownstreamConnection) -> None:
         """The connection is read again."""
 
-    def flooded_by_unused(self) -> bool:
-        """Whether idle connections that brought no request are too many to be spared."""
+    def newcomer_grace_s(self) -> float:
+        """For how long a connection that brought no request yet is spared when places are short."""
 
     def route(self, message: HttpMessage, slot: ResponseSlot) -> bool:
         """Take a request; returns whether it is one for the servers.  HttpMessageError if it is invalid."""
@@ -188,7 +191,8 @@
         if self.is_idle():
             # A client connects because it has a request.  In a burst of such clients each would evict the one
             # before it, whose request was on its way, while idle connections stayed that nobody used.
-            may_go = self._brought_request or overdue or self.owner.flooded_by_unused()
+            waited_s = now - self.waiting_since
+            may_go = self._brought_request or waited_s >= self.owner.newcomer_grace_s()
             return may_go and not self.has_unread_input()
         return overdue
 
