Handle a SIGHUP with a note, and read the file once in the next iteration

Tests of the commands also end the processes that they started where they fail: three had been left running.

--- a/load_balancer/proxy/lifecycle.py
+++ b/load_balancer/proxy/lifecycle.py
@@ -33,7 +33,30 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, terminate)
-    loop.add_signal_handler(signal.SIGHUP, reload)
+    loop.add_signal_handler(signal.SIGHUP, OncePerIteration(reload).request)
+
+
+class OncePerIteration:
+    """Calls back once in the loop's next iteration, however often it is asked for before.
+
+    The loop handles signals until none is left: where each takes longer than the next one takes to come, as
+    the reading of a file may, nothing else would run.
+    """
+
+    def __init__(self, callback: Callable[[], None]) -> None:
+        self._callback = callback
+        self._requested = False
+        self._loop = asyncio.get_running_loop()
+
+    def request(self) -> None:
+        """Ask for a call."""
+        if not self._requested:
+            self._requested = True
+            self._loop.call_soon(self._call)
+
+    def _call(self) -> None:
+        self._requested = False
+        self._callback()
 
 
 class Readiness:
--- a/tests/proxy/test_lifecycle.py
+++ b/tests/proxy/test_lifecycle.py
@@ -337,3 +337,22 @@
         endpoint.release.set()
         assert (await client.answer()).body == b"x"
         await asyncio.wait_for(w.serving, PATIENCE_S)
+
+
+@async_test
+async def test_signals_in_a_row_are_handled_once_in_an_iteration() -> None:
+    """Each costs no more than a note, so that a storm of them cannot hold up the loop."""
+    handled = 0
+
+    def handle() -> None:
+        nonlocal handled
+        handled += 1
+
+    once = lifecycle.OncePerIteration(handle)
+    for _ in range(100):
+        once.request()
+    assert handled == 0
+    await until(lambda: handled)
+    assert handled == 1
+    once.request()
+    await until(lambda: handled == 2)
--- a/tests/test_main.py
+++ b/tests/test_main.py
@@ -11,6 +11,7 @@
 import resource
 import signal
 import tomllib
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
@@ -46,6 +47,19 @@
     return path, content
 
 
+_started: list[asyncio.subprocess.Process] = []
+
+
+@pytest.fixture(autouse=True)
+def _end_started_processes() -> Iterator[None]:
+    """A test that fails leaves no process behind."""
+    yield
+    for process in _started:
+        if process.returncode is None:
+            os.kill(process.pid, signal.SIGKILL)
+    _started.clear()
+
+
 async def _start(
     environment: dict[str, str], descriptors: int = 0, stderr: int = asyncio.subprocess.PIPE
 ) -> asyncio.subprocess.Process:
@@ -55,7 +69,7 @@
         resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors))
 
     command = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
-    return await asyncio.create_subprocess_exec(
+    process = await asyncio.create_subprocess_exec(
         "/bin/sh",
         "-c",
         command,
@@ -64,6 +78,8 @@
         stderr=stderr,
         preexec_fn=limit_descriptors if descriptors else None,
     )
+    _started.append(process)
+    return process
 
 
 async def _start_node(
