--- a/fault_soak/__main__.py
+++ b/fault_soak/__main__.py
@@ -127,7 +127,8 @@
     command += ["--tree", str(options.tree), "--kinds", options.kinds]
     done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, check=False)
     if not path.exists():
-        return {"seed": seed, "violations": [f"the soak itself failed: {done.stderr[-2000:]}"], "faults": []}
+        print(f"seed={seed} the soak itself failed: {done.stderr[-2000:]}", flush=True)
+        return {"seed": seed, "violations": ["the soak itself failed"], "faults": []}
     report: dict[str, object] = json.loads(path.read_text())
     if not quiet:
         _print_report(report)
