--- a/fault_soak/oracle.py
+++ b/fault_soak/oracle.py
@@ -55,6 +55,7 @@
 STARVED_S = 4.0
 STARVED_REQUESTS = 15
 REFUSALS = (429, 503)
+CONNECT_EJECTION = re.compile(r"endpoint_ejected .*outcome=connect_failed")
 WRITTEN_COUNT = re.compile(r"node_counters .*\bwritten=(\d+)")
 FAULT_LINES = re.compile(
     r"policy_failed|action_failed|request_failed|request_read_failed|response_overdue|Traceback|invariant_"
@@ -88,6 +89,9 @@
     DESCRIPTORS = "descriptors"
     MEMORY = "memory"
     INTERNAL = "internal-fault"
+    CHARGED = "charged-for-local-failure"
+    """A server was ejected for connects that failed on the node's own machine."""
+
     COUNTERS = "counters"
     """A node's own counts and the history disagree."""
 
@@ -119,7 +123,7 @@
         self._attempts: dict[str, list[AttemptReceived]] = defaultdict(list)
         for attempt in self._history.of(AttemptReceived):
             self._attempts[attempt.request_id].append(attempt)
-        self._done = {(d.connection, d.request_id): d for d in self._history.of(AttemptDone)}
+        self._done = self._match_ends()
         self._node_at = {start.address: start.node for start in self._history.of(NodeStarted)}
         self._starts = _by_incarnation(self._history.of(NodeStarted))
         self._exits = _by_incarnation(self._history.of(NodeExited))
@@ -142,14 +146,27 @@
             self._check_bad_clients,
             self._check_limits,
             self._check_logs,
+            self._check_ejections,
             self._check_counters,
         )
         return [violation for check in checks for violation in check()]
 
+    def _match_ends(self) -> dict[AttemptReceived, AttemptDone]:
+        """The end of each attempt that has one; a connection carries one attempt after another."""
+        ends: dict[tuple[int, str], list[AttemptDone]] = defaultdict(list)
+        for done in self._history.of(AttemptDone):
+            ends[done.connection, done.request_id].append(done)
+        matched: dict[AttemptReceived, AttemptDone] = {}
+        for attempt in self._history.of(AttemptReceived):
+            waiting = ends[attempt.connection, attempt.request_id]
+            if waiting:
+                matched[attempt] = waiting.pop(0)
+        return matched
+
     # Requests.
 
     def _has_run(self, attempt: AttemptReceived) -> bool:
-        done = self._done.get((attempt.connection, attempt.request_id))
+        done = self._done.get(attempt)
         return done is None or done.result is not AttemptResult.REJECTED
 
     def _check_answers(self) -> Iterator[Violation]:
@@ -176,8 +193,8 @@
         if missing.unread_allowed and not self._attempts[missing.request_id]:
             return True
         sent = self._sent[missing.request_id]
-        if self._crowded(sent):
-            return not self._attempts[missing.request_id]
+        if self._crowded(sent) and not self._attempts[missing.request_id]:
+            return True
         return self._was_killed(sent) or (missing.closed and self._connection_failed(sent, missing.at))
 
     def _connection_failed(self, sent: RequestSent, at: float) -> bool:
@@ -256,7 +273,7 @@
             return
         for request_id, attempts in self._attempts.items():
             for earlier, later in zip(attempts, attempts[1:], strict=False):
-                done = self._done.get((earlier.connection, request_id))
+                done = self._done.get(earlier)
                 if done is None or done.at > later.first_byte_at + SOCKET_SLACK_S + self._lag_s:
                     yield Violation(Rule.HEDGED, request_id, f"{earlier.server} and {later.server}")
 
@@ -428,6 +445,18 @@
             if FAULT_LINES.search(logged.line):
                 yield Violation(Rule.INTERNAL, f"{logged.node}/{logged.incarnation}", logged.line)
 
+    def _check_ejections(self) -> Iterator[Violation]:
+        """No server is ejected for what the node's own machine failed in."""
+        local = self._spans(FaultKind.SYSCALL_CONNECT, FaultKind.SYSCALL_SOCKET)
+        remote = self._spans(*SERVER_KINDS)
+        for logged in self._history.of(NodeLogged):
+            if CONNECT_EJECTION.search(logged.line) is None:
+                continue
+            during = any(b <= logged.at <= e + 0.1 for b, e, node in local if node == logged.node)
+            excused = any(b <= logged.at <= e + 3.0 for b, e, _ in remote)
+            if during and not excused:
+                yield Violation(Rule.CHARGED, f"{logged.node}/{logged.incarnation}", logged.line)
+
     def _check_counters(self) -> Iterator[Violation]:
         """A node that ended by itself has counted every attempt that servers received from it."""
         for life, start in self._starts.items():
