--- a/fault_soak/__main__.py
+++ b/fault_soak/__main__.py
@@ -44,6 +44,7 @@
     parser = argparse.ArgumentParser(prog="python -m fault_soak", description=__doc__)
     parser.add_argument("--seeds", default="1", help="a seed, or a range such as 1-20")
     parser.add_argument("--kinds", default="", help="draw faults of these kinds alone: node-term,link-late")
+    parser.add_argument("--nodes", type=int, default=0, help="play with so many nodes, which share the load")
     parser.add_argument("--faults", default="", help="play these faults of the schedule alone: 2,5")
     parser.add_argument("--tree", type=Path, default=ROOT, help="the checkout whose node is played")
     parser.add_argument("--parallel", type=int, default=2, help="plays at a time")
@@ -67,6 +68,8 @@
 
 def _play_one(seed: int, options: argparse.Namespace) -> int:
     plan = draw_plan(seed, _kinds(options.kinds))
+    if options.nodes:
+        plan = plan.with_nodes(options.nodes)
     if options.faults:
         plan = plan.with_faults(frozenset(int(i) for i in options.faults.split(",")))
     if options.shrink:
@@ -110,7 +113,7 @@
     names = {rule.value for rule in mutation.rules}
     with mutated_tree(ROOT, mutation) as tree:
         kinds = ",".join(sorted(kind.value for kind in mutation.kinds))
-        options = argparse.Namespace(tree=tree, json=tree, kinds=kinds)
+        options = argparse.Namespace(tree=tree, json=tree, kinds=kinds, nodes=0)
         for count, seed in enumerate(seeds, 1):
             violations = _play_in_process(seed, options, quiet=True)["violations"]
             assert isinstance(violations, list)
@@ -125,6 +128,7 @@
     path.unlink(missing_ok=True)
     command = [sys.executable, "-m", "fault_soak", "--seeds", str(seed), "--json", str(path)]
     command += ["--tree", str(options.tree), "--kinds", options.kinds]
+    command += ["--nodes", str(options.nodes)]
     done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, check=False)
     if not path.exists():
         print(f"seed={seed} the soak itself failed: {done.stderr[-2000:]}", flush=True)
--- a/fault_soak/plan.py
+++ b/fault_soak/plan.py
@@ -116,6 +116,15 @@
         """The same play with some of its faults alone."""
         return replace(self, faults=tuple(f for i, f in enumerate(self.faults) if i in indices))
 
+    def with_nodes(self, count: int) -> Plan:
+        """The same play with another number of nodes, which share the same load."""
+        return replace(
+            self,
+            node_count=count,
+            settings={**self.settings, "balancers": count},
+            requests_per_s=self.requests_per_s * self.node_count / count,
+        )
+
 
 ALL_PAIRS = tuple(itertools.combinations(FaultKind, 2))
 
