--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -1,6 +1,6 @@
 """A pytest plugin that passes over the tests listed in a file of known failures, and prints them.
 
-    python -m pytest --known-red KNOWN-RED.txt
+    python -m pytest --known-red=KNOWN-RED.txt
 
 A line of the file is ``test, cause, issue``, where the test is its full node id.  Without the option, or
 where the file does not exist, every test runs.
