Index the history of the fault test by type, and take out what nothing uses

The oracle went through all events for each question, some of them once for each attempt. No rule, bound or draw has changed.

--- a/fault_soak/__main__.py
+++ b/fault_soak/__main__.py
@@ -148,6 +148,7 @@
         "requests": len(history.of(RequestSent)),
         "statuses": " ".join(f"{status}:{count}" for status, count in sorted(statuses.items())),
         "worst_lag_ms": round(1000.0 * result.worst_lag_s),
+        "shim_loaded": result.shim_loaded,
         "faults": faults,
         "pairs": [
             f"{a.kind.value}+{b.kind.value}"
--- a/fault_soak/clients.py
+++ b/fault_soak/clients.py
@@ -73,7 +73,6 @@
 
     def __init__(self, plan: Plan, nodes: list[NodeProcess], history: History, rng: random.Random) -> None:
         self.habits = ClientHabits(leave_fraction=plan.client_leave_fraction)
-        self.fired = 0
         self._plan = plan
         self._nodes = nodes
         self._history = history
@@ -191,7 +190,6 @@
 
     async def _write(self, connection: ClientConnection, text: bytes) -> None:
         if self.habits.slow:
-            self.fired += 1
             pieces = 4
             size = len(text) // pieces + 1
             for i in range(pieces):
@@ -251,7 +249,6 @@
             connection.writer.write(text[: len(text) - 1 - self._rng.randrange(len(text) // 2)])
             await connection.writer.drain()
         client = next(self._clients)
-        self.fired += 1
         self._history.add(IncompleteRequestStopped(History.now(), client, node.name, connection.incarnation))
         with contextlib.suppress(TimeoutError, ConnectionError):
             async with asyncio.timeout(STOPPED_FOR_S):
@@ -265,7 +262,6 @@
         if connection is None:
             return
         requests = [self._draw_request() for _ in range(count)]
-        self.fired += 1
         connection.writer.write(b"".join(request.text for request in requests))
         due_s = 0.0
         for position, request in enumerate(requests):
@@ -288,11 +284,10 @@
         connection.writer.transport.abort()
 
     async def send_garbage(self, node: NodeProcess) -> None:
-        """Send a valid request and garbage behind it, or garbage alone."""
+        """Send what is no request, and wait for the error or the close."""
         connection = await self._connect(node)
         if connection is None:
             return
-        self.fired += 1
         garbage = self._rng.choice((b"\x00\x01\x02\r\n\r\n", b"GET /api HTTP/9.9\r\n\r\n", b"A" * 70000))
         with contextlib.suppress(ConnectionError, TimeoutError):
             connection.writer.write(garbage)
@@ -303,13 +298,6 @@
     async def crowd(self, node: NodeProcess, count: int, seconds: float) -> None:
         """Open idle connections and keep them."""
         opened = [c for c in [await self._connect(node) for _ in range(count)] if c is not None]
-        self.fired += len(opened)
         await asyncio.sleep(seconds)
         for connection in opened:
             connection.writer.transport.abort()
-
-    def leave_all_idle(self, node: NodeProcess) -> None:
-        """Close every idle connection to a node."""
-        for connection in self._idle[node.name]:
-            connection.writer.transport.abort()
-        self._idle[node.name].clear()
--- a/fault_soak/discovery.py
+++ b/fault_soak/discovery.py
@@ -68,7 +68,6 @@
     pushed: bool
     generation: int = 0
     down: bool = False
-    silent: bool = False  # open watches get nothing any more; new ones do
     pieces: bool = False
     port: int = 0
     fired: int = 0
@@ -78,9 +77,9 @@
     _silenced: set[asyncio.StreamWriter] = field(default_factory=set)
     _changed: asyncio.Event = field(default_factory=asyncio.Event)
 
-    async def open(self, port: int = 0) -> None:
-        """Listen at a new address, or at a given port."""
-        self._server = await asyncio.start_server(self._serve, HOST, port)
+    async def open(self) -> None:
+        """Listen at a new address."""
+        self._server = await asyncio.start_server(self._serve, HOST, 0)
         self.port = self._server.sockets[0].getsockname()[1]
 
     async def move(self) -> asyncio.Server | None:
--- a/fault_soak/history.py
+++ b/fault_soak/history.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import time
+from collections import defaultdict
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import TypeVar
+from typing import TypeVar, cast
 
 EventType = TypeVar("EventType", bound="HistoryEvent")
 
@@ -233,6 +234,13 @@
     """The events of one play, in the order in which they were recorded."""
 
     events: list[HistoryEvent] = field(default_factory=list)
+    _by_type: dict[type[HistoryEvent], list[HistoryEvent]] = field(init=False, repr=False)
+
+    def __post_init__(self) -> None:
+        """Index what is there by type: the oracle asks for one type at a time, again and again."""
+        self._by_type = defaultdict(list)
+        for event in self.events:
+            self._by_type[type(event)].append(event)
 
     @staticmethod
     def now() -> float:
@@ -242,7 +250,8 @@
     def add(self, event: HistoryEvent) -> None:
         """Record an event."""
         self.events.append(event)
+        self._by_type[type(event)].append(event)
 
     def of(self, kind: type[EventType]) -> list[EventType]:
         """All events of one type."""
-        return [event for event in self.events if isinstance(event, kind)]
+        return cast(list[EventType], list(self._by_type[kind]))
--- a/fault_soak/http.py
+++ b/fault_soak/http.py
@@ -5,8 +5,6 @@
 import asyncio
 from dataclasses import dataclass
 
-MAX_HEAD_BYTES = 64 * 1024
-
 
 @dataclass(frozen=True, slots=True)
 class Message:
@@ -28,10 +26,10 @@
         return self.start_line.split(" ")[1]
 
 
-async def read_message(reader: asyncio.StreamReader, now: float | None = None) -> Message:
+async def read_message(reader: asyncio.StreamReader) -> Message:
     """Read a message whose length is given; asyncio.IncompleteReadError where the input ends before."""
     first = await reader.readexactly(1)
-    first_byte_at = asyncio.get_running_loop().time() if now is None else now
+    first_byte_at = asyncio.get_running_loop().time()
     head = (first + await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
     start_line, *lines = head.rstrip("\r\n").split("\r\n")
     pairs = (line.split(":", 1) for line in lines)
--- a/fault_soak/nodes.py
+++ b/fault_soak/nodes.py
@@ -53,7 +53,8 @@
         library: the library to load, None without a compiler.
         incarnation: counts its processes.
         admitted: the front sends it new connections.
-        reading_log: its log is read.
+        process: its present process, or its last.
+        log_may_flow: its log is read.
     """
 
     name: str
--- a/fault_soak/oracle.py
+++ b/fault_soak/oracle.py
@@ -312,7 +312,7 @@
 
     def _start_before(self, node: str, at: float) -> float:
         """When the node's process that lived at a time was started: a new one counts as notified then."""
-        starts = [s.at for s in self._history.of(NodeStarted) if s.node == node and s.at <= at]
+        starts = [start.at for start in self._starts.values() if start.node == node and start.at <= at]
         return max(starts, default=0.0)
 
     def _check_departures(self) -> Iterator[Violation]:
--- a/fault_soak/plan.py
+++ b/fault_soak/plan.py
@@ -65,7 +65,6 @@
     if kind.value.startswith(("node-", "reload-", "log-", "watch-", "list-", "syscall-", "write-", "clock-"))
 )
 SERVER_KINDS = frozenset(kind for kind in FaultKind if kind.value.startswith(("server-", "link-")))
-SHIM_KINDS = frozenset(kind for kind in FaultKind if kind.value.startswith(("syscall-", "write-", "clock-")))
 
 
 @dataclass(frozen=True, slots=True)
--- a/fault_soak/proxy.py
+++ b/fault_soak/proxy.py
@@ -56,8 +56,7 @@
         self._accepting = False
 
     def open(self) -> None:
-        """Begin to listen, at the same port as before if there was one."""
-        self._listener = socket.socket()
+        """Begin to listen, at the port that was set or else at a free one; to be called once."""
         self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._listener.bind((HOST, self.port))
         self._listener.setblocking(False)
--- a/fault_soak/servers.py
+++ b/fault_soak/servers.py
@@ -187,7 +187,7 @@
             await self._hang(reader)
             done(AttemptResult.ABANDONED)
             return False
-        work = self._loop_work()
+        work = asyncio.ensure_future(self._work())
         closed = asyncio.ensure_future(reader.read(1))
         try:
             await asyncio.wait((work, closed), return_when=asyncio.FIRST_COMPLETED)
@@ -201,9 +201,6 @@
             await closed
         return self._answer(request_id, writer, done)
 
-    def _loop_work(self) -> asyncio.Future[None]:
-        return asyncio.ensure_future(self._work())
-
     async def _work(self) -> None:
         self._waiting += 1
         try:
--- a/fault_soak/shim.c
+++ b/fault_soak/shim.c
@@ -98,24 +98,29 @@
     return name != NULL && strcmp(name, "/config.json") == 0;
 }
 
+typedef int (*open_call)(const char *, int, ...);
+
+static int open_unless_failing(open_call real, const char *path, int flags, va_list rest) {
+    int mode = va_arg(rest, int);
+    if (opens_configuration(path) && fires(OPEN))
+        return fail(OPEN);
+    return real(path, flags, mode);
+}
+
 int open64(const char *path, int flags, ...) {
     va_list rest;
     va_start(rest, flags);
-    int mode = va_arg(rest, int);
+    int descriptor = open_unless_failing(REAL(open64), path, flags, rest);
     va_end(rest);
-    if (opens_configuration(path) && fires(OPEN))
-        return fail(OPEN);
-    return REAL(open64)(path, flags, mode);
+    return descriptor;
 }
 
 int open(const char *path, int flags, ...) {
     va_list rest;
     va_start(rest, flags);
-    int mode = va_arg(rest, int);
+    int descriptor = open_unless_failing(REAL(open), path, flags, rest);
     va_end(rest);
-    if (opens_configuration(path) && fires(OPEN))
-        return fail(OPEN);
-    return REAL(open)(path, flags, mode);
+    return descriptor;
 }
 
 ssize_t read(int descriptor, void *buffer, size_t size) {
