Read TROUBLE in the folder of each case

Cause: TROUBLE was read in review/common alone, so that a case's folder did not show how its disruption is left out.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 
 from review.common.agent import Agent, row
 from review.common.bad_client_process import BadClients
@@ -47,4 +48,4 @@
 
 
 if __name__ == "__main__":
-    run_case(__file__, play)
+    run_case(__file__, play, trouble=os.environ.get("TROUBLE") != "0")
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import os
 import socket
 import threading
 
@@ -92,4 +93,4 @@
 
 
 if __name__ == "__main__":
-    run_case(__file__, play)
+    run_case(__file__, play, trouble=os.environ.get("TROUBLE") != "0")
--- a/review/common/case.py
+++ b/review/common/case.py
@@ -13,7 +13,7 @@
 from review.common.record import Record
 
 
-def run_case(script: str, play: Callable[[Record, bool], Awaitable[bool]]) -> None:
+def run_case(script: str, play: Callable[[Record, bool], Awaitable[bool]], *, trouble: bool) -> None:
     """Run a case and end this process with its exit code.
 
     The exit code is 0 if the rule held, 1 if it was broken, and 2 if the case couldn't run.
@@ -21,8 +21,8 @@
     Args:
         script: the path of the script of the case.
         play: plays the case, with or without its disruption, and returns whether the rule held.
+        trouble: whether the disruption is played.
     """
-    trouble = os.environ.get("TROUBLE") != "0"
 
     async def main() -> bool:
         record = Record(Path(script).with_name("record.txt"))
