Free the input of a connection when the connection ends, without the garbage collector

Cause: httptools' parser holds bound methods of its owner, which holds the parser. A closed connection and all that it had read of an incomplete message were therefore freed only by the cyclic garbage collector. That counts objects and not bytes, so a peer that leaves messages incomplete decides how much is kept: up to 64 KB for each client or endpoint connection, up to 4 MB for each watch.

Change: HttpReader.close drops the parser, the callback and the incomplete message; the connections call it when they are lost, and a watch drops its parser. Log records of malformed input get the text of the error and not the error, which refers to the frames of the parse for as long as a handler keeps the record.

--- a/load_balancer/proxy/discovery/watch.py
+++ b/load_balancer/proxy/discovery/watch.py
@@ -145,12 +145,16 @@
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             if not self.is_closed:
-                log.warning("discovery_response_malformed problem=%s", error)
+                log.warning("discovery_response_malformed problem=%s", str(error))
                 self._end()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """End the watch, because its connection is closed."""
+        """End the watch, because its connection is closed.
+
+        The parser refers to the watch, so without it the watch and an incomplete object are freed at once.
+        """
         self._end()
+        del self._parser
 
     # Callbacks from httptools.
 
@@ -169,7 +173,7 @@
                 if self.is_closed:
                     return
         except (MalformedStreamError, ListingError) as error:
-            log.warning("discovery_list_malformed problem=%s", error)
+            log.warning("discovery_list_malformed problem=%s", str(error))
             self._end()
             return
         self._owner.watch_active(self)
--- a/load_balancer/proxy/downstream/connection.py
+++ b/load_balancer/proxy/downstream/connection.py
@@ -260,6 +260,7 @@
                 timer.cancel()
         self.owner.connection_closed(self)
         self._responses.abandon_all()
+        self._reader.close()
 
     def release_body(self, slot: ResponseSlot) -> None:
         """Stop counting the body of this slot's request towards the limit for request bodies."""
--- a/load_balancer/proxy/http/reader.py
+++ b/load_balancer/proxy/http/reader.py
@@ -201,6 +201,17 @@
         """Read messages again after a stop.  Allowed only if ``has_input_after_stop`` is false."""
         self._stopped = False
 
+    def close(self) -> None:
+        """Drop the incomplete message and the parser, because the connection has ended.
+
+        The parser, the reader and the owner of the reader refer to each other.  Without this call, they and
+        the incomplete message would be freed only by the cyclic garbage collector, which counts objects and
+        not their size.  No other method may be called afterwards.
+        """
+        self._message = None
+        self._body_parts.clear()
+        del self._parser, self._on_message
+
     # Callbacks that httptools calls.
 
     def on_message_begin(self) -> None:
--- a/load_balancer/proxy/upstream/connection.py
+++ b/load_balancer/proxy/upstream/connection.py
@@ -148,7 +148,7 @@
         try:
             self._reader.feed(data)
         except HttpMessageError as error:
-            log.warning("response_malformed endpoint=%s problem=%s", self._endpoint_name, error)
+            log.warning("response_malformed endpoint=%s problem=%s", self._endpoint_name, str(error))
             self._fail(Outcome.MALFORMED_RESPONSE)
             return
         if self._response is not None:
@@ -175,6 +175,7 @@
         """
         self._owner.connection_closed(self)
         self._fail(Outcome.RESET)
+        self._reader.close()
 
     def _fail(self, outcome: Outcome) -> None:
         """Close the connection, and end the request in flight, if any, with this outcome."""
--- a/tests/proxy/http/test_reader_memory.py
+++ b/tests/proxy/http/test_reader_memory.py
@@ -2,13 +2,10 @@
 
 from __future__ import annotations
 
-import gc
-import tracemalloc
-from collections.abc import Iterator
-
 import pytest
 
 from load_balancer.proxy.http.reader import MAX_HEAD_BYTES, HttpMessageError, HttpReader
+from tests.proxy.traced_memory import traced_bytes, without_garbage_collection
 
 PIECE_BYTES = 256 * 1024  # as much as the event loop reads at once
 READERS = 20
@@ -20,27 +17,11 @@
 NOISE = b"nonsense\r\n" + bytes(PIECE_BYTES)
 
 
-@pytest.fixture
-def _no_garbage_collection() -> Iterator[None]:
-    """Let memory be freed by reference counts alone, as between two runs of the cyclic collector."""
-    gc.collect()
-    gc.disable()
-    tracemalloc.start()
-    yield
-    tracemalloc.stop()
-    gc.enable()
-
-
-def _traced_bytes() -> int:
-    return tracemalloc.get_traced_memory()[0]
-
-
 def _fail(reader: HttpReader, piece: bytes) -> None:
     with pytest.raises(HttpMessageError):
         reader.feed(piece)
 
 
-@pytest.mark.usefixtures("_no_garbage_collection")
 @pytest.mark.parametrize(
     "piece",
     [
@@ -54,7 +35,7 @@
     # A failed reader kept the input that it had failed on, 256 KB for each refused request, until the cyclic
     # garbage collector ran: nodes exceeded their memory limit.
     readers = [HttpReader(lambda message: None, requests=True) for _ in range(READERS)]
-    before = _traced_bytes()
-    for reader in readers:
-        _fail(reader, bytes(bytearray(piece)))  # a copy that only the reader can keep
-    assert _traced_bytes() - before < READERS * MAX_HEAD_BYTES
+    with without_garbage_collection():
+        for reader in readers:
+            _fail(reader, bytes(bytearray(piece)))  # a copy that only the reader can keep
+        assert traced_bytes() < READERS * MAX_HEAD_BYTES
