Limit the input without progress in every part of an HTTP message, trailers included

Cause: the limits covered a head that is incomplete (in the state HEAD only), complete headers and trailers, and body bytes. A trailer that is not complete is none of these: httptools collects it with += on each piece, so that memory grows by what the peer sends, and each further piece copies all that came before.

Change: one count of input that brings no complete final head, no part of a body and no end of a message takes the place of the count that ran in HEAD alone; MAX_HEAD_BYTES bounds it. The parser gets 16 KB at once, so that the check comes before much more than the limit has been processed. Requests and responses share the reader, so trailers of requests, chunk extensions and interim responses have the same bound.

Related paths: the watch at discovery has a parser of its own, without callbacks for headers; httptools collects nothing there, and the silence timeout ends such a watch.

--- a/load_balancer/proxy/http/reader.py
+++ b/load_balancer/proxy/http/reader.py
@@ -17,12 +17,16 @@
 
 MAX_BODY_BYTES = 64 * 1024
 MAX_HEAD_BYTES = 16 * 1024
+# The parser gets at most this much input at once, so that the limits are checked before it has processed or
+# collected much more than they allow.
+MAX_PARSED_BYTES = 16 * 1024
 # Matches a valid request id or idempotency key.  The node forwards both unchanged, so it accepts only visible
 # ASCII characters in them.
 TOKEN_PATTERN = re.compile(rb"[!-~]{1,256}")
 
 _HEAD_TOO_LARGE = "the head is too large"
 _BODY_TOO_LARGE = "the body is too large"
+_FRAMING_TOO_LARGE = "the chunk extensions or trailers are too large"
 
 
 class HttpMessageError(Exception):
@@ -136,8 +140,8 @@
         "_body_size",
         "_failure",
         "_has_input_after_stop",
-        "_head_input_left",
         "_head_size",
+        "_input_left",
         "_message",
         "_on_message",
         "_parser",
@@ -151,10 +155,12 @@
         self._parser = httptools.HttpRequestParser(self) if requests else httptools.HttpResponseParser(self)
         self._state = _HEAD
         self._failure: _Failure | None = None
-        # Two limits apply to a head.  The first limits the input that is read before the head is complete, so
-        # that an incomplete head cannot grow without bound.  The second limits the size of the head itself,
-        # because one large piece of input may contain a complete head that is too large.
-        self._head_input_left = MAX_HEAD_BYTES
+        # Two limits apply to what is not part of a body.  The first limits the input without any progress,
+        # which is a complete final head, a part of a body or a complete message.  The parser collects each
+        # header and trailer until it is complete, so that otherwise one without end could grow without bound.
+        # The second limits the size of the head and the trailers themselves, because one piece of input may
+        # contain a complete head that is too large.
+        self._input_left = MAX_HEAD_BYTES
         self._head_size = 0
         self._message: HttpMessage | None = None  # the message being read; None between messages
         self._body_parts: list[bytes] = []  # empty between messages
@@ -178,8 +184,17 @@
         Raises:
             HttpMessageError: the input is malformed or exceeds a limit.  The reader cannot be used any more.
         """
-        if self._state is _HEAD:
-            self._head_input_left -= len(data)
+        if len(data) <= MAX_PARSED_BYTES:
+            self._parse(data)
+            return
+        view = memoryview(data)
+        for begin in range(0, len(data), MAX_PARSED_BYTES):
+            self._parse(view[begin : begin + MAX_PARSED_BYTES])
+            if self._has_input_after_stop:
+                return
+
+    def _parse(self, data: bytes | memoryview) -> None:
+        self._input_left -= len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -190,8 +205,8 @@
                 raise HttpMessageError(400, f"malformed message: {error}") from None
         if self._failure is not None:
             raise HttpMessageError(self._failure.status, self._failure.problem)
-        if self._state is _HEAD and self._head_input_left < 0:
-            raise HttpMessageError(400, _HEAD_TOO_LARGE)
+        if self._input_left < 0:
+            raise HttpMessageError(400, _HEAD_TOO_LARGE if self._state is _HEAD else _FRAMING_TOO_LARGE)
 
     def stop(self) -> None:
         """Read no further message, not even one that follows in the piece of input that is being parsed."""
@@ -254,6 +269,8 @@
             message.method = parser.get_method()
         else:
             message.status = parser.get_status_code()
+        if not _is_interim(message.status):
+            self._input_left = MAX_HEAD_BYTES
 
     def on_body(self, part: bytes) -> None:
         """Handle a part of the body."""
@@ -261,6 +278,7 @@
         if self._body_size > MAX_BODY_BYTES:
             self._fail(413, _BODY_TOO_LARGE)
         self._body_parts.append(part)
+        self._input_left = MAX_HEAD_BYTES
 
     def on_message_complete(self) -> None:
         """Handle the end of a message."""
@@ -277,7 +295,7 @@
         message.keep_alive = keep_alive
         if _is_interim(message.status):
             return  # The size of an interim response counts towards the head limit of the final response.
-        self._head_input_left, self._head_size = MAX_HEAD_BYTES, 0
+        self._input_left, self._head_size = MAX_HEAD_BYTES, 0
         self._on_message(message)
 
     def end_of_input(self) -> None:
--- a/tests/proxy/http/test_reader.py
+++ b/tests/proxy/http/test_reader.py
@@ -73,6 +73,32 @@
     assert message.body == body
 
 
+@pytest.mark.parametrize(
+    ("chunk", "last_chunk"),
+    [
+        pytest.param(b"1\r\nx\r\n", b"0\r\n\r\n", id="chunks of one byte"),
+        pytest.param(b"8;a=b\r\nxxxxxxxx\r\n", b"0\r\n\r\n", id="chunk extensions"),
+        pytest.param(b"8\r\nxxxxxxxx\r\n", b"0\r\nX-Sum: %s\r\n\r\n" % (b"1" * 16_000), id="long trailer"),
+    ],
+)
+@pytest.mark.parametrize("piece_size", [1000, 10_000_000])
+def test_largest_body_is_accepted_in_each_form_of_chunks(
+    chunk: bytes, last_chunk: bytes, piece_size: int
+) -> None:
+    body_size = chunk.count(b"x")
+    head = b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+    stream = head + chunk * (MAX_BODY_BYTES // body_size) + last_chunk
+    pieces = [stream[begin : begin + piece_size] for begin in range(0, len(stream), piece_size)]
+    (message,) = _read_requests(*pieces)
+    assert message.body == b"x" * MAX_BODY_BYTES
+
+
+def test_requests_in_one_large_piece_are_all_read() -> None:
+    messages = _read_requests(POST * 5000)
+    assert len(messages) == 5000
+    assert {message.body for message in messages} == {b"body"}
+
+
 def test_reader_is_in_message_until_message_is_complete() -> None:
     reader = HttpReader(lambda message: None, requests=True)
     assert not reader.in_message
--- a/tests/proxy/http/test_reader_memory.py
+++ b/tests/proxy/http/test_reader_memory.py
@@ -17,6 +17,21 @@
 NOISE = b"nonsense\r\n" + bytes(PIECE_BYTES)
 
 
+REQUEST_IN_CHUNKS = POST + b"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n"
+RESPONSE_IN_CHUNKS = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n"
+MIB = 1024 * 1024
+
+
+def _read_until_refused(reader: HttpReader, piece_bytes: int) -> int:
+    """Feed up to 1 MiB in pieces of this size; return the status of the error, or 0 if there was none."""
+    try:
+        for _ in range(MIB // piece_bytes):
+            reader.feed(bytes(bytearray(b"a")) * piece_bytes)
+    except HttpMessageError as error:
+        return error.status
+    return 0
+
+
 def _fail(reader: HttpReader, piece: bytes) -> None:
     with pytest.raises(HttpMessageError):
         reader.feed(piece)
@@ -39,3 +54,23 @@
         for reader in readers:
             _fail(reader, bytes(bytearray(piece)))  # a copy that only the reader can keep
         assert traced_bytes() < READERS * MAX_HEAD_BYTES
+
+
+@pytest.mark.parametrize("requests", [True, False])
+@pytest.mark.parametrize("piece_bytes", [1000, PIECE_BYTES])
+@pytest.mark.parametrize(
+    "start",
+    [
+        pytest.param(b"0\r\nX-Sum: ", id="value of a trailer"),
+        pytest.param(b"0\r\n", id="name of a trailer"),
+        pytest.param(b"4;x=", id="chunk extension"),
+    ],
+)
+def test_message_whose_trailers_never_end_is_refused(start: bytes, piece_bytes: int, requests: bool) -> None:
+    # A trailer without end was collected without a limit, so that one bad endpoint could drive a node over
+    # its memory limit and hold up its event loop.
+    reader = HttpReader(lambda message: None, requests=requests)
+    reader.feed((REQUEST_IN_CHUNKS if requests else RESPONSE_IN_CHUNKS) + start)
+    with without_garbage_collection():
+        assert _read_until_refused(reader, piece_bytes) == 400
+        assert traced_bytes() < 4 * MAX_HEAD_BYTES
--- a/tests/proxy/test_endpoint_faults.py
+++ b/tests/proxy/test_endpoint_faults.py
@@ -115,6 +115,28 @@
         )
 
 
+async def _never_end_trailers(_: StubServer, __: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+    writer.write(HEAD + b"Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\nX-Sum: ")
+    with contextlib.suppress(ConnectionError):
+        while not writer.is_closing():
+            writer.write(b"1" * 65536)
+            await writer.drain()
+
+
+@pytest.mark.parametrize("kind", ["look", "move", "book"])
+@async_test
+async def test_response_whose_trailers_never_end_is_ended_at_once(kind: str) -> None:
+    # One endpoint that sent trailers without end held up the node's event loop and exhausted its memory.
+    async with (
+        StubServer([_never_end_trailers]) as endpoint,
+        running_node(row("a", endpoint.address), **policy_limits(tryLimit=1)) as environment,
+    ):
+        response = await (await environment.connect_client()).fetch(kind, deadline="600")
+        assert response.status in ((502,) if kind == "book" else (502, 503))
+        assert response.body == b""
+        assert len(endpoint.received) == 1
+
+
 @pytest.mark.parametrize("duplicate", [True, False])
 @pytest.mark.parametrize("cancel", [True, False])
 @async_test
