Limit the number of headers, trailers and interim responses of an HTTP message

Cause: the limits on a head count bytes, but its cost is a call of on_header for each line. A piece of 256 KB holds 52,000 lines "a:b"; names and values alone count, so the reader failed only at line 8,192, after some 10 ms of processor time for each refused request. The client comes again at once, so that one iteration of the event loop took over a second.

Change: a message may have MAX_HEADERS = 100 headers, trailers and interim responses before it, together; the next one fails it with status 400. Interim responses had the same fault: 10 ms for 16 KB of them.

Related path: an incomplete head of 2,000 distinct short headers, within the limit in bytes, kept 0.15 MB on each connection; the same limit refuses it.

--- a/load_balancer/proxy/http/reader.py
+++ b/load_balancer/proxy/http/reader.py
@@ -17,6 +17,9 @@
 
 MAX_BODY_BYTES = 64 * 1024
 MAX_HEAD_BYTES = 16 * 1024
+# The limit for the headers and trailers of a message and the interim responses before it, together.  Each of
+# them costs far more time and memory than its bytes.
+MAX_HEADERS = 100
 # The parser gets at most this much input at once, so that the limits are checked before it has processed or
 # collected much more than they allow.
 MAX_PARSED_BYTES = 16 * 1024
@@ -25,6 +28,7 @@
 TOKEN_PATTERN = re.compile(rb"[!-~]{1,256}")
 
 _HEAD_TOO_LARGE = "the head is too large"
+_TOO_MANY_HEADERS = "the message has too many headers or trailers"
 _BODY_TOO_LARGE = "the body is too large"
 _FRAMING_TOO_LARGE = "the chunk extensions or trailers are too large"
 
@@ -141,6 +145,7 @@
         "_failure",
         "_has_input_after_stop",
         "_head_size",
+        "_header_count",
         "_input_left",
         "_message",
         "_on_message",
@@ -162,6 +167,7 @@
         # contain a complete head that is too large.
         self._input_left = MAX_HEAD_BYTES
         self._head_size = 0
+        self._header_count = 0
         self._message: HttpMessage | None = None  # the message being read; None between messages
         self._body_parts: list[bytes] = []  # empty between messages
         self._body_size = 0
@@ -247,6 +253,7 @@
         message = self._message
         if message is None:
             return
+        self._count_header()
         self._count_head_bytes(len(name) + len(value))
         if self._state is not _HEAD:
             return  # Ignore a trailer: only the head decides how a message is handled.
@@ -269,7 +276,9 @@
             message.method = parser.get_method()
         else:
             message.status = parser.get_status_code()
-        if not _is_interim(message.status):
+        if _is_interim(message.status):
+            self._count_header()
+        else:
             self._input_left = MAX_HEAD_BYTES
 
     def on_body(self, part: bytes) -> None:
@@ -294,8 +303,9 @@
         self._body_parts.clear()
         message.keep_alive = keep_alive
         if _is_interim(message.status):
-            return  # The size of an interim response counts towards the head limit of the final response.
-        self._input_left, self._head_size = MAX_HEAD_BYTES, 0
+            return  # An interim response counts towards the limits on the head of the final response.
+        self._input_left = MAX_HEAD_BYTES
+        self._head_size = self._header_count = 0
         self._on_message(message)
 
     def end_of_input(self) -> None:
@@ -325,6 +335,12 @@
         ):
             self._state = _BODY_UNTIL_CLOSE
 
+    def _count_header(self) -> None:
+        """Count a header, a trailer or an interim response, and fail if there are too many of them."""
+        self._header_count += 1
+        if self._header_count > MAX_HEADERS:
+            self._fail(400, _TOO_MANY_HEADERS)
+
     def _count_head_bytes(self, size: int) -> None:
         """Add to the size of the current head and trailers, and fail if the size exceeds the limit.
 
--- a/tests/proxy/http/test_reader.py
+++ b/tests/proxy/http/test_reader.py
@@ -7,6 +7,7 @@
 from load_balancer.proxy.http.reader import (
     MAX_BODY_BYTES,
     MAX_HEAD_BYTES,
+    MAX_HEADERS,
     HttpMessage,
     HttpMessageError,
     HttpReader,
@@ -99,6 +100,44 @@
     assert {message.body for message in messages} == {b"body"}
 
 
+def _read_with_headers(count: int) -> list[HttpMessage]:
+    headers = b"".join(b"X-%d: 1\r\n" % i for i in range(count))
+    return _read_requests(b"GET / HTTP/1.1\r\n" + headers + b"\r\n")
+
+
+def test_message_with_more_headers_than_limit_is_refused() -> None:
+    # Heads of thousands of short headers, in bytes below the limit, held up the event loop: with hundreds of
+    # such clients the requests of all others were answered late or not at all.
+    (message,) = _read_with_headers(MAX_HEADERS)
+    assert len(message.headers) == MAX_HEADERS
+    with pytest.raises(HttpMessageError, match="too many headers") as raised:
+        _read_with_headers(MAX_HEADERS + 1)
+    assert raised.value.status == 400
+
+
+def test_trailers_count_as_headers() -> None:
+    head = b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n"
+    (message,) = _read_requests(head + b"a:\r\n" * (MAX_HEADERS - 1) + b"\r\n")
+    assert message.body == b"body"
+    with pytest.raises(HttpMessageError, match="too many headers"):
+        _read_requests(head + b"a:\r\n" * MAX_HEADERS + b"\r\n")
+
+
+def test_interim_responses_count_as_headers() -> None:
+    messages: list[HttpMessage] = []
+    interim, final = b"HTTP/1.1 100 Continue\r\n\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+    reader = HttpReader(messages.append, requests=False)
+    reader.feed(interim * (MAX_HEADERS - 1) + final)
+    assert [message.status for message in messages] == [200]
+    with pytest.raises(HttpMessageError, match="too many headers"):
+        reader.feed(interim * MAX_HEADERS + final)
+
+
+def test_header_count_begins_anew_with_each_message() -> None:
+    request = b"GET / HTTP/1.1\r\n" + b"a: 1\r\n" * MAX_HEADERS + b"\r\n"
+    assert len(_read_requests(request, request)) == 2
+
+
 def test_reader_is_in_message_until_message_is_complete() -> None:
     reader = HttpReader(lambda message: None, requests=True)
     assert not reader.in_message
--- a/tests/proxy/http/test_reader_memory.py
+++ b/tests/proxy/http/test_reader_memory.py
@@ -74,3 +74,16 @@
     with without_garbage_collection():
         assert _read_until_refused(reader, piece_bytes) == 400
         assert traced_bytes() < 4 * MAX_HEAD_BYTES
+
+
+def test_incomplete_head_of_many_headers_is_refused() -> None:
+    # A head of thousands of short headers, incomplete and below the limit in bytes, took many times its size.
+    reader = HttpReader(lambda message: None, requests=True)
+    reader.feed(POST)
+    lines = b"".join(b"%x:\r\n" % i for i in range(2000))
+    with without_garbage_collection():
+        try:
+            reader.feed(lines)
+        except HttpMessageError as error:
+            assert error.status == 400
+        assert traced_bytes() < 4 * MAX_HEAD_BYTES
