Count the wait of an unread request towards its budget when reading was paused

Cause: DownstreamConnection takes the last poll of the event loop as the earliest arrival of what it reads. A connection whose reading is paused is not polled, so its input may be as old as the pause.

Change: at a pause the connection records how old unread input can be: the earliest arrival of the current iteration, or that of the input read last if more already waits. The first input after the pause counts from there, unless nothing waited when reading resumed. The bound is early for a request that arrives late in a pause; such a request is answered before its time and never after it.

--- a/load_balancer/proxy/downstream/connection.py
+++ b/load_balancer/proxy/downstream/connection.py
@@ -127,6 +127,7 @@
         "_open_requests_timer",
         "_reader",
         "_responses",
+        "_unread_since_s",
         "answered",
         "last_input_at",
         "owner",
@@ -151,6 +152,9 @@
         self._accepted_after = accepted_after
         # The earliest time at which the input that was read last can have arrived (monotonic, seconds).
         self._arrived_at_s = 0.0
+        # The earliest time at which input that waits unread since a pause can have arrived (monotonic,
+        # seconds); None if no such input can be waiting.
+        self._unread_since_s: float | None = None
         self._discarded_bytes = 0
         self._linger_timer: asyncio.TimerHandle | None = None
         self._open_requests_timer: asyncio.TimerHandle | None = None
@@ -199,6 +203,9 @@
             self._update_reading()
             return
         self._arrived_at_s = self.owner.iterations.earliest_arrival()
+        if self._unread_since_s is not None:
+            self._arrived_at_s = min(self._arrived_at_s, self._unread_since_s)
+            self._unread_since_s = None
         if not self.answered and self._arrived_at_s <= self.waiting_since:
             # The input may have arrived while the connection waited in the backlog to be accepted.  It is
             # known only that the input did not arrive before the connection did.
@@ -388,8 +395,24 @@
             or self._discarded_bytes > MAX_DISCARDED_BYTES
             or len(self._responses) >= PAUSE_READING_AT
         ):
-            self.transport.pause_reading()
-            self.owner.reading_paused(self)
+            self._pause_reading()
         elif not self.transport.is_reading:
-            self.transport.resume_reading()
-            self.owner.reading_resumed(self)
+            self._resume_reading()
+
+    def _pause_reading(self) -> None:
+        """Stop reading, and record how old input can be that arrives or already waits during the pause."""
+        if not self.transport.is_reading:
+            return
+        if self.transport.has_unread_input():
+            self._unread_since_s = self._arrived_at_s
+        else:
+            self._unread_since_s = self.owner.iterations.earliest_arrival()
+        self.transport.pause_reading()
+        self.owner.reading_paused(self)
+
+    def _resume_reading(self) -> None:
+        """Read again.  If no input waits now, the input that is read next has arrived after the pause."""
+        if not self.transport.has_unread_input():
+            self._unread_since_s = None
+        self.transport.resume_reading()
+        self.owner.reading_resumed(self)
--- a/tests/proxy/downstream/test_connection.py
+++ b/tests/proxy/downstream/test_connection.py
@@ -91,6 +91,46 @@
         assert bodies == [by_target[f"/api/{i}"] for i in range(8)]
 
 
+@async_test
+async def test_budget_of_request_includes_its_wait_for_earlier_responses() -> None:
+    # A request that waited unread, because two requests of its connection were open, got its whole time anew
+    # when it was read: endpoints were told more time than its client had left.
+    waited_s, deadline_s = 0.3, 600.0
+    behaviours = [when_released(reply("200 OK", b"x"))]
+    async with StubServer(behaviours) as endpoint, running_node(row("a", endpoint.address)) as environment:
+        recorder = PolicyRecorder(environment.node)
+        client = await environment.connect_client()
+        client.writer.write(open_requests(2))
+        await until(lambda: len(recorder.budgets) == 2)
+        (connection,) = environment.node.downstream.connections
+        await until(lambda: not connection.transport.is_reading)
+        client.writer.write(open_requests(1))
+        await until(connection.has_unread_input)
+        await asyncio.sleep(waited_s)
+        endpoint.release.set()
+        await until(lambda: len(recorder.budgets) == 3)
+        assert recorder.budgets[2] <= 1000.0 * (deadline_s - waited_s)
+
+
+@async_test
+async def test_budget_of_request_after_a_pause_counts_from_its_arrival() -> None:
+    paused_s, deadline_s = 1.0, 600.0
+    behaviours = [when_released(reply("200 OK", b"x"))]
+    async with StubServer(behaviours) as endpoint, running_node(row("a", endpoint.address)) as environment:
+        recorder = PolicyRecorder(environment.node)
+        client = await environment.connect_client()
+        client.writer.write(open_requests(2))
+        await until(lambda: len(recorder.budgets) == 2)
+        (connection,) = environment.node.downstream.connections
+        await until(lambda: not connection.transport.is_reading)
+        await asyncio.sleep(paused_s)
+        endpoint.release.set()
+        await until(lambda: connection.transport.is_reading)
+        client.writer.write(open_requests(1))
+        await until(lambda: len(recorder.budgets) == 3)
+        assert recorder.budgets[2] > 1000.0 * (deadline_s - paused_s)
+
+
 @async_test
 async def test_client_that_leaves_during_a_response_ends_its_other_requests() -> None:
     behaviours = [reply("200 OK", b"x" * 60_000), silent]
