Read bulk input of client connections in turns, a few in each iteration of the event loop

Cause: nothing bounded the input that one iteration of the event loop takes. It reads up to 256 KB at once, and up to 32 times, from each readable connection; parsing 256 KB of such chunks takes 15 ms. With hundreds of connections an iteration takes seconds, and usual requests wait for the next one.

Change: client connections read pieces of at most 8 KB into one shared buffer (asyncio.BufferedProtocol). After a piece of 4 KB or more a connection stops reading and waits for its turn; InputPacer gives four turns in each iteration. Usual requests are smaller and never wait. The disconnect poller and the age of unread input treat the wait like any other pause.

--- a/load_balancer/proxy/downstream/connection.py
+++ b/load_balancer/proxy/downstream/connection.py
@@ -17,6 +17,7 @@
     RESPONSE_DUE,
     ConnectionPhase,
 )
+from load_balancer.proxy.downstream.input_pacer import BULK_READ_BYTES, InputPacer
 from load_balancer.proxy.downstream.response_queue import ResponseQueue
 from load_balancer.proxy.downstream.response_slot import ResponseSlot
 from load_balancer.proxy.event_loop.loop_iterations import LoopIterations
@@ -56,6 +57,7 @@
     iterations: LoopIterations
     counters: NodeCounters
     rules: RuleMonitor
+    pacer: InputPacer
 
     @property
     def table(self) -> EvictionTable:
@@ -94,7 +96,7 @@
         """Stop counting the body of this slot's request towards the limit for request bodies."""
 
 
-class DownstreamConnection(asyncio.Protocol):
+class DownstreamConnection(asyncio.BufferedProtocol):
     """A client connection, which sends its responses in the order of the requests.
 
     ``ConnectionState`` lists the states of a connection and their transitions.  Three flags are independent
@@ -128,6 +130,7 @@
         "_reader",
         "_responses",
         "_unread_since_s",
+        "_waits_for_turn",
         "answered",
         "last_input_at",
         "owner",
@@ -155,6 +158,7 @@
         # The earliest time at which input that waits unread since a pause can have arrived (monotonic,
         # seconds); None if no such input can be waiting.
         self._unread_since_s: float | None = None
+        self._waits_for_turn = False
         self._discarded_bytes = 0
         self._linger_timer: asyncio.TimerHandle | None = None
         self._open_requests_timer: asyncio.TimerHandle | None = None
@@ -195,13 +199,28 @@
         self.owner.iterations.mark_activity()
         self.owner.connection_opened(self)
 
-    def data_received(self, data: bytes) -> None:
-        """Parse input, or discard it if no further request is accepted; called by the event loop."""
-        if self.state is not ACCEPTING_REQUESTS:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the memory for the next piece of input; called by the event loop."""
+        return self.owner.pacer.read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Handle a piece of input in the buffer; called by the event loop."""
+        if nbytes >= BULK_READ_BYTES:
+            self._waits_for_turn = True
+            self.owner.pacer.wait_for_turn(self)
+        if self.state is ACCEPTING_REQUESTS:
+            self._parse(self.owner.pacer.read_buffer[:nbytes])
+        else:
             # The input is read only to detect a close by the client, and only up to MAX_DISCARDED_BYTES.
-            self._discarded_bytes += len(data)
-            self._update_reading()
-            return
+            self._discarded_bytes += nbytes
+        self._update_reading()
+
+    def continue_reading(self) -> None:
+        """Read the next piece of bulk input; called by the pacer."""
+        self._waits_for_turn = False
+        self._update_reading()
+
+    def _parse(self, data: memoryview) -> None:
         self._arrived_at_s = self.owner.iterations.earliest_arrival()
         if self._unread_since_s is not None:
             self._arrived_at_s = min(self._arrived_at_s, self._unread_since_s)
@@ -220,7 +239,6 @@
         except Exception:
             log.exception("request_read_failed")
             self.respond_with_error(500)
-        self._update_reading()
 
     def _on_request(self, message: HttpMessage) -> None:
         slot = ResponseSlot(self, not message.keep_alive, self._arrived_at_s)
@@ -384,14 +402,15 @@
         """Pause or resume reading, to limit the memory that one client can use.
 
         Reading pauses while the client does not read its responses, while PAUSE_READING_AT requests are open,
-        and after MAX_DISCARDED_BYTES of discarded input.  This method also updates the position of the
-        connection in the eviction queues.
+        after MAX_DISCARDED_BYTES of discarded input, and while bulk input waits for its turn.  This method
+        also updates the position of the connection in the eviction queues.
         """
         self.owner.table.refresh_eviction(self)
         if not self.transport.is_open:
             return
         if (
             self.write_paused
+            or self._waits_for_turn
             or self._discarded_bytes > MAX_DISCARDED_BYTES
             or len(self._responses) >= PAUSE_READING_AT
         ):
--- a/load_balancer/proxy/downstream/server.py
+++ b/load_balancer/proxy/downstream/server.py
@@ -10,6 +10,7 @@
 from load_balancer.proxy.downstream.connection_state import IDLE
 from load_balancer.proxy.downstream.connection_table import ConnectionTable
 from load_balancer.proxy.downstream.disconnect_poller import DisconnectPoller
+from load_balancer.proxy.downstream.input_pacer import InputPacer
 from load_balancer.proxy.downstream.listener import Listener
 from load_balancer.proxy.downstream.request_parsing import RequestParser
 from load_balancer.proxy.downstream.request_router import AcceptRequest, RequestRouter
@@ -28,6 +29,7 @@
         iterations: provides the earliest time at which input can have arrived.
         counters: counts responses and closed connections.
         rules: records rule violations.
+        pacer: limits the bulk input that one iteration of the event loop reads.
         draining: whether the node is draining, so that responses close their connections.
         last_activity: when a connection was last opened or a request was last read (monotonic, seconds).
         table: the table of the open connections, which also evicts connections.
@@ -50,6 +52,7 @@
         self.iterations = iterations
         self.counters = counters
         self.rules = rules
+        self.pacer = InputPacer()
         self.draining = False
         self.last_activity = 0.0
         self.table = ConnectionTable(max_connections)
@@ -126,6 +129,7 @@
         """Close the listening socket and abort every connection."""
         self._timeout_check_timer.cancel()
         self.disconnect_poller.cancel()
+        self.pacer.cancel()
         self._listener.close()
         for connection in list(self.table):
             connection.abort(CloseReason.STOPPED)
@@ -153,6 +157,7 @@
         """Handle a connection that has been closed or lost."""
         self.table.remove(connection)
         self.disconnect_poller.remove(connection)
+        self.pacer.remove(connection)
         self._listener.connection_closed()
 
     def reading_paused(self, connection: DownstreamConnection) -> None:
--- a/load_balancer/proxy/http/reader.py
+++ b/load_balancer/proxy/http/reader.py
@@ -184,7 +184,7 @@
         """Whether more input followed the message after which the reader was stopped."""
         return self._has_input_after_stop
 
-    def feed(self, data: bytes) -> None:
+    def feed(self, data: bytes | memoryview) -> None:
         """Parse a piece of input, and pass each message that it completes to the callback.
 
         Raises:
