Ignore lists of a new discovery address that are older than the list of the node

Cause: EndpointDiscovery.watch_received took each list, whatever its version, and the first answer of a new address that lags is its complete, older list.

Change: AddressLag, from a change of the address until the first list there that is not older. An older list or change is logged (discovery_list_outdated) and passed on as one that changes nothing, so that a poll counts as answered. If the new address sends only older ones for 8 s (a change counts as told after 6 s), it numbers its lists anew: its complete list is read from version 0 and taken. A lower version at the same address is taken at once, as before.

--- a/load_balancer/proxy/discovery/endpoint_discovery.py
+++ b/load_balancer/proxy/discovery/endpoint_discovery.py
@@ -4,14 +4,18 @@
 
 import asyncio
 import json
+import logging
 from enum import Enum, auto
 from typing import Protocol
 
 from load_balancer.proxy.address import Address
+from load_balancer.proxy.discovery.address_lag import AddressLag
 from load_balancer.proxy.discovery.endpoint_listing import EndpointListing, ListingError, ListingReader
 from load_balancer.proxy.discovery.watch import DiscoveryWatch
 from load_balancer.proxy.discovery.watch_timing import WatchTiming
 
+log = logging.getLogger(__name__)
+
 
 class ListingHandler(Protocol):
     """A callback that receives each endpoint list, and each change to a list, in order."""
@@ -115,6 +119,7 @@
         self._watch: DiscoveryWatch | None = None
         self._successor: DiscoveryWatch | None = None
         self._reconnect_timer: asyncio.TimerHandle | None = None
+        self._lag = AddressLag(self._accept_lower_versions)
 
     @property
     def state(self) -> DiscoveryState:
@@ -173,11 +178,14 @@
         """Change the address of discovery.
 
         A new watch is opened at this address.  When it receives its first input, it replaces the old watch.
+        Lists and changes from the new address that are older than the last version are ignored; see
+        AddressLag.
         Before the first call of ``subscribe``, only the address is stored.
         """
         if address == self._address:
             return
         self._address = address
+        self._lag.begin()
         if self._successor is not None:
             self._successor.close()
             self._successor = None
@@ -186,8 +194,9 @@
             self._open_successor()
 
     def close(self) -> None:
-        """Close all watches and cancel the reconnect timer; no failure is reported."""
+        """Close all watches and cancel all timers; no failure is reported."""
         self._close_watches()
+        self._lag.end()
         if self._state is not DiscoveryState.UNSUBSCRIBED:
             self._state = DiscoveryState.UNWATCHED
 
@@ -226,9 +235,18 @@
         except ValueError as error:
             raise ListingError(str(error)) from None
         self.watch_active(watch)
+        if watch.address == self._address and self._lag.is_outdated(listing.version, self._version):
+            log.warning("discovery_list_outdated version=%d known=%d", listing.version, self._version)
+            listing = EndpointListing(self._version, complete=False, endpoints=(), addresses={})
         self._version = listing.version
         self._on_listing(listing)
 
+    def _accept_lower_versions(self) -> None:
+        """Read the complete list anew, because the new address numbers its lists from a lower version."""
+        log.warning("discovery_versions_restarted known=%d", self._version)
+        self._version = 0
+        self.subscribe()
+
     def watch_active(self, watch: DiscoveryWatch) -> None:
         """Record that the watch has received input.
 
--- a/load_balancer/proxy/discovery/watch.py
+++ b/load_balancer/proxy/discovery/watch.py
@@ -77,6 +77,9 @@
 
     The watch manages the connection, the task that opens the connection, and the timer.  When the watch ends,
     its owner is notified once, unless the owner itself closed the watch.
+
+    Attributes:
+        address: the address of discovery to which the watch connects.
     """
 
     def __init__(
@@ -90,6 +93,7 @@
             version: the version of the endpoint list after which discovery sends changes.
             response_timeout_s: how long the first input may take, in seconds.
         """
+        self.address = address
         self._owner = owner
         self._request = b"GET /v1/endpoints?watch=1&from=%d HTTP/1.1\r\nHost: %s:%d\r\n\r\n" % (
             version,
--- a/tests/proxy/discovery/test_endpoint_discovery.py
+++ b/tests/proxy/discovery/test_endpoint_discovery.py
@@ -9,8 +9,8 @@
 import pytest
 
 from load_balancer.policy.endpoints import MAX_POLL_BACKOFF_MS
+from load_balancer.proxy.discovery import address_lag, watch_timing
 from load_balancer.proxy.discovery import watch as discovery_watch
-from load_balancer.proxy.discovery import watch_timing
 from load_balancer.proxy.discovery.endpoint_discovery import DiscoveryState
 from load_balancer.proxy.node import Node
 from tests.proxy.async_support import TIMEOUT_S, async_test, until
@@ -178,3 +178,82 @@
         send_line(await moved.watch(), listing(3, row("a", endpoint.address)))
         await until(lambda: environment.endpoint_discovery.version == 3)
         assert len(environment.discovery.targets) == 1
+
+
+@pytest.mark.parametrize("mode", ["pushed", "on_request"])
+@async_test
+async def test_new_address_that_lags_does_not_bring_back_a_draining_endpoint(
+    mode: str, tmp_path: Path
+) -> None:
+    # After SIGHUP a node took the older list of the new address, and sent requests to a draining endpoint
+    # again.
+    config = tmp_path / "config.json"
+    async with (
+        StubServer([reply("200 OK", b"a")]) as one,
+        StubServer([reply("200 OK", b"b")]) as two,
+        StubDiscovery() as moved,
+        running_node(
+            row("a", one.address), row("b", two.address), path=str(config), registryMode=mode
+        ) as environment,
+    ):
+        rows = row("a", one.address), row("b", two.address)
+        drain = listing(3, row("a", one.address, "DRAINING"), reset=False)
+        watch = await environment.discovery.watch()
+        send_line(watch, listing(2, *rows))
+        send_line(watch, drain)
+        await until(lambda: environment.endpoint_discovery.version == 3)
+        _move(environment.node, config, moved.address)
+        lagging = await moved.watch()
+        assert moved.targets[-1].endswith("from=3")
+        send_line(lagging, listing(1, row("a", one.address)))
+        send_line(lagging, listing(2, *rows, reset=False))
+        await until(lambda: environment.endpoint_discovery.watch is not None and _is_moved(environment))
+        assert await _bodies(environment, requests=5) == {b"b"}
+        assert environment.endpoint_discovery.version == 3
+        send_line(lagging, drain)
+        send_line(lagging, listing(4, row("a", one.address), row("b", two.address, "DRAINING"), reset=False))
+        await until(lambda: environment.endpoint_discovery.version == 4)
+        assert await _bodies(environment, requests=5) == {b"a"}
+
+
+def _is_moved(environment: NodeEnvironment) -> bool:
+    discovery = environment.endpoint_discovery
+    return discovery.successor is None and discovery.state is DiscoveryState.WATCHING
+
+
+@async_test
+async def test_list_of_address_that_numbers_anew_is_taken_after_the_longest_lag(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(address_lag, "MAX_LAG_S", 0.1)
+    config = tmp_path / "config.json"
+    async with (
+        StubServer([reply("200 OK", b"a")]) as one,
+        StubServer([reply("200 OK", b"b")]) as two,
+        StubDiscovery() as moved,
+        running_node(row("a", one.address), path=str(config), registryMode="pushed") as environment,
+    ):
+        send_line(await environment.discovery.watch(), listing(50, row("a", one.address)))
+        await until(lambda: environment.endpoint_discovery.version == 50)
+        _move(environment.node, config, moved.address)
+        send_line(await moved.watch(), listing(7, row("b", two.address)))
+        reopened = await moved.watch()
+        assert moved.targets[-1].endswith("from=0")
+        send_line(reopened, listing(7, row("b", two.address)))
+        await until(lambda: environment.endpoint_discovery.version == 7)
+        assert await _bodies(environment, requests=5) == {b"b"}
+
+
+@async_test
+async def test_lower_version_at_the_same_address_is_taken() -> None:
+    """Check that only a change of the address makes a lower version doubtful."""
+    async with (
+        StubServer([reply("200 OK", b"a")]) as one,
+        StubServer([reply("200 OK", b"b")]) as two,
+        running_node(row("a", one.address), registryMode="pushed") as environment,
+    ):
+        watch = await environment.discovery.watch()
+        send_line(watch, listing(50, row("a", one.address)))
+        send_line(watch, listing(7, row("b", two.address)))
+        await until(lambda: environment.endpoint_discovery.version == 7)
+        assert await _bodies(environment, requests=5) == {b"b"}
