Wait longer for polled discovery after a watch that got no response in time

Cause: WatchTiming gave each watch 1 s for its first input, whatever had happened before, and the next watch began from the start.

Change: after a polled watch without a response the timeout doubles, up to 2 s, and goes back to the initial one with the first response that comes within it. Two failed polls still leave time for a third within 6 s where discovery is not slow. Pushed lists are as before: the agent is on the node's own machine.

Left: an answer that takes over 2 s is still given up, because the policy polls again after 2 s (docs/open-points.md).

--- a/load_balancer/proxy/discovery/endpoint_discovery.py
+++ b/load_balancer/proxy/discovery/endpoint_discovery.py
@@ -253,6 +253,7 @@
         If it is the watch at the new address of discovery, it replaces the old watch.
         """
         self._has_received_input = True
+        self._timing.record_input(self._loop.time() - watch.opened_at)
         if watch is self._successor:
             if self._watch is not None:
                 self._watch.close()
@@ -261,6 +262,8 @@
 
     def watch_ended(self, watch: DiscoveryWatch) -> None:
         """Handle the end of a watch; if no watch is left, reconnect later or report the failure."""
+        if watch.has_no_response:
+            self._timing.record_no_response()
         if watch is self._successor:
             self._successor = None
             if self._watch is not None:
--- a/load_balancer/proxy/discovery/watch.py
+++ b/load_balancer/proxy/discovery/watch.py
@@ -80,6 +80,8 @@
 
     Attributes:
         address: the address of discovery to which the watch connects.
+        opened_at: when the watch began to connect, in the time of the event loop.
+        has_no_response: whether the watch has ended because no input came within the response timeout.
     """
 
     def __init__(
@@ -105,6 +107,8 @@
         self._state = WatchState.OPENING
         self._transport: asyncio.Transport | None = None
         self._loop = asyncio.get_running_loop()
+        self.opened_at = self._loop.time()
+        self.has_no_response = False
         self._timer = self._loop.call_later(response_timeout_s, self.check_silence)
         self._connect_task = self._loop.create_task(self._connect(address))
 
@@ -203,6 +207,7 @@
         if transport is not None and poll_socket(transport.get_extra_info("socket").fileno(), select.POLLIN):
             self._set_timer(0.0)
         else:
+            self.has_no_response = self._state is WatchState.OPENING
             self._end()
 
     def _set_timer(self, seconds: float) -> None:
--- a/tests/proxy/discovery/test_endpoint_discovery.py
+++ b/tests/proxy/discovery/test_endpoint_discovery.py
@@ -113,6 +113,46 @@
         await until(lambda: environment.endpoint_discovery.version == 7)
 
 
+@async_test
+async def test_slow_discovery_is_heard_although_the_first_poll_gives_up(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Each poll was given up after 1 s, so that a node never heard a discovery that takes longer, and sent to
+    # a draining endpoint for as long as it ran.
+    slow_s = 0.3
+    rare_polls = {"mustAskInMs": 10_000.0, "stopSendingWithinMs": 1000.0}
+    monkeypatch.setattr(watch_timing, "MAX_RESPONSE_TIMEOUT_S", 0.2)
+    async with (
+        StubServer([reply("200 OK", b"a")]) as one,
+        StubServer([reply("200 OK", b"b")]) as two,
+        running_node(row("a", one.address), registryMode="on_request", guarantees=rare_polls) as environment,
+    ):
+        environment.discovery.sends_no_response = True
+        await environment.discovery.watch()
+        slow = await environment.discovery.watch()
+        await asyncio.sleep(slow_s)
+        slow.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        send_line(slow, listing(2, row("b", two.address)))
+        await until(lambda: environment.endpoint_discovery.version == 2)
+        assert await _bodies(environment, requests=5) == {b"b"}
+
+
+def test_response_timeout_grows_only_while_polled_discovery_is_slow() -> None:
+    polled = watch_timing.WatchTiming(pushed=False, poll_timeout_s=4.0, drain_grace_s=1.0)
+    timeouts = []
+    for _ in range(3):
+        timeouts.append(polled.response_timeout_s)
+        polled.record_no_response()
+    assert timeouts == [1.0, 2.0, 2.0]
+    polled.record_input(watch_age_s=1.5)
+    assert polled.response_timeout_s == 2.0, "discovery is still slow"
+    polled.record_input(watch_age_s=0.1)
+    assert polled.response_timeout_s == 1.0
+    pushed = watch_timing.WatchTiming(pushed=True, poll_timeout_s=4.0, drain_grace_s=1.0)
+    pushed.record_no_response()
+    assert pushed.response_timeout_s == 0.4
+
+
 # ---------------------------------------------------------------- changes of the address
 
 
