Move the bound on arrival times and the owner's interfaces out of the client connection

Change: ArrivalBound owns the earliest arrival and the age of unread input; connection_owner.py has the two protocols.

--- a/load_balancer/proxy/downstream/connection.py
+++ b/load_balancer/proxy/downstream/connection.py
@@ -4,9 +4,10 @@
 
 import asyncio
 import logging
-import typing
 
+from load_balancer.proxy.downstream.arrival_bound import ArrivalBound
 from load_balancer.proxy.downstream.client_transport import ClientTransport
+from load_balancer.proxy.downstream.connection_owner import ConnectionOwner
 from load_balancer.proxy.downstream.connection_state import (
     ACCEPTING_REQUESTS,
     CLOSING,
@@ -17,13 +18,12 @@
     RESPONSE_DUE,
     ConnectionPhase,
 )
-from load_balancer.proxy.downstream.input_pacer import BULK_READ_BYTES, InputPacer
+from load_balancer.proxy.downstream.input_pacer import BULK_READ_BYTES
 from load_balancer.proxy.downstream.response_queue import ResponseQueue
 from load_balancer.proxy.downstream.response_slot import ResponseSlot
-from load_balancer.proxy.event_loop.loop_iterations import LoopIterations
 from load_balancer.proxy.http.reader import HttpMessage, HttpMessageError, HttpReader
-from load_balancer.proxy.observability.counters import CloseReason, NodeCounters
-from load_balancer.proxy.observability.rule_monitor import Rule, RuleMonitor
+from load_balancer.proxy.observability.counters import CloseReason
+from load_balancer.proxy.observability.rule_monitor import Rule
 
 log = logging.getLogger(__name__)
 
@@ -41,61 +41,6 @@
 MAX_DISCARDED_BYTES = 256 * 1024
 
 
-class EvictionTable(typing.Protocol):
-    """The interface of a connection table that its connections use to update the order of eviction."""
-
-    def update_eviction(self, connection: DownstreamConnection) -> None:
-        """Move the connection to the end of the eviction queue of its current priority."""
-
-    def refresh_eviction(self, connection: DownstreamConnection) -> None:
-        """Requeue the connection if its eviction priority has changed; otherwise keep its position."""
-
-
-class ConnectionOwner(typing.Protocol):
-    """The interface of a server that its connections use."""
-
-    iterations: LoopIterations
-    counters: NodeCounters
-    rules: RuleMonitor
-    pacer: InputPacer
-
-    @property
-    def table(self) -> EvictionTable:
-        """The table of the open connections of the server, which may evict them."""
-
-    @property
-    def draining(self) -> bool:
-        """Whether the server is draining, so that responses close their connections."""
-
-    def now(self) -> float:
-        """Return the monotonic time in seconds."""
-
-    def connection_opened(self, connection: DownstreamConnection) -> None:
-        """Handle a newly accepted connection."""
-
-    def connection_closed(self, connection: DownstreamConnection) -> None:
-        """Handle a connection that has been closed or lost."""
-
-    def reading_paused(self, connection: DownstreamConnection) -> None:
-        """Handle a pause in reading from the connection."""
-
-    def reading_resumed(self, connection: DownstreamConnection) -> None:
-        """Handle the resumption of reading from the connection."""
-
-    def route(self, message: HttpMessage, slot: ResponseSlot) -> bool:
-        """Answer a request or pass it on to be forwarded.
-
-        Returns:
-            Whether it was a valid request under /api.
-
-        Raises:
-            HttpMessageError: the request is invalid, or the node does not serve its path or method.
-        """
-
-    def release_body(self, slot: ResponseSlot) -> None:
-        """Stop counting the body of this slot's request towards the limit for request bodies."""
-
-
 class DownstreamConnection(asyncio.BufferedProtocol):
     """A client connection, which sends its responses in the order of the requests.
 
@@ -122,14 +67,12 @@
     """
 
     __slots__ = (
-        "_accepted_after",
-        "_arrived_at_s",
+        "_arrival",
         "_discarded_bytes",
         "_linger_timer",
         "_open_requests_timer",
         "_reader",
         "_responses",
-        "_unread_since_s",
         "_waits_for_turn",
         "answered",
         "last_input_at",
@@ -152,12 +95,7 @@
         self.write_paused = False
         self._reader = HttpReader(self._on_request, requests=True)
         self._responses = ResponseQueue()
-        self._accepted_after = accepted_after
-        # The earliest time at which the input that was read last can have arrived (monotonic, seconds).
-        self._arrived_at_s = 0.0
-        # The earliest time at which input that waits unread since a pause can have arrived (monotonic,
-        # seconds); None if no such input can be waiting.
-        self._unread_since_s: float | None = None
+        self._arrival = ArrivalBound(owner.iterations, accepted_after)
         self._waits_for_turn = False
         self._discarded_bytes = 0
         self._linger_timer: asyncio.TimerHandle | None = None
@@ -221,14 +159,9 @@
         self._update_reading()
 
     def _parse(self, data: memoryview) -> None:
-        self._arrived_at_s = self.owner.iterations.earliest_arrival()
-        if self._unread_since_s is not None:
-            self._arrived_at_s = min(self._arrived_at_s, self._unread_since_s)
-            self._unread_since_s = None
-        if not self.answered and self._arrived_at_s <= self.waiting_since:
-            # The input may have arrived while the connection waited in the backlog to be accepted.  It is
-            # known only that the input did not arrive before the connection did.
-            self._arrived_at_s = self._accepted_after
+        self._arrival.record_input()
+        if not self.answered:
+            self._arrival.extend_to_backlog(self.waiting_since)
         self.last_input_at = self.owner.now()
         if self.answered and self.phase is IDLE:
             self.waiting_since = self.last_input_at
@@ -241,7 +174,7 @@
             self.respond_with_error(500)
 
     def _on_request(self, message: HttpMessage) -> None:
-        slot = ResponseSlot(self, not message.keep_alive, self._arrived_at_s)
+        slot = ResponseSlot(self, not message.keep_alive, self._arrival.earliest_s)
         self._responses.append(slot)
         if slot.close_after:
             self.end_input()
@@ -419,19 +352,12 @@
             self._resume_reading()
 
     def _pause_reading(self) -> None:
-        """Stop reading, and record how old input can be that arrives or already waits during the pause."""
-        if not self.transport.is_reading:
-            return
-        if self.transport.has_unread_input():
-            self._unread_since_s = self._arrived_at_s
-        else:
-            self._unread_since_s = self.owner.iterations.earliest_arrival()
-        self.transport.pause_reading()
-        self.owner.reading_paused(self)
+        if self.transport.is_reading:
+            self._arrival.pause(has_unread_input=self.transport.has_unread_input())
+            self.transport.pause_reading()
+            self.owner.reading_paused(self)
 
     def _resume_reading(self) -> None:
-        """Read again.  If no input waits now, the input that is read next has arrived after the pause."""
-        if not self.transport.has_unread_input():
-            self._unread_since_s = None
+        self._arrival.resume(has_unread_input=self.transport.has_unread_input())
         self.transport.resume_reading()
         self.owner.reading_resumed(self)
