Reject requests that arrive between the deadline of a shutdown and its end

Cause: GracefulShutdown.check_drained ended the input of every connection and closed the listening socket, so that nothing could be answered any more but what was open.

Change: the node goes on accepting and answers every request under /api with 503 at once; nothing is forwarded. The state table of a connection loses the transition that is gone.

Result: test_request_between_shutdown_deadline_and_stop_is_rejected failed before (closed with no byte) and passes.

--- a/load_balancer/proxy/downstream/connection_state.py
+++ b/load_balancer/proxy/downstream/connection_state.py
@@ -21,7 +21,6 @@
     ``ACCEPTING_REQUESTS``  a request that asks to close the connection is read       ``INPUT_ENDED``
     ``ACCEPTING_REQUESTS``  invalid input is read, or a request takes too long        ``INPUT_ENDED``
     ``ACCEPTING_REQUESTS``  an unexpected error occurs while input is parsed          ``INPUT_ENDED``
-    ``ACCEPTING_REQUESTS``  the node stops accepting requests at the end of shutdown  ``INPUT_ENDED``
     ``ACCEPTING_REQUESTS``  a response that closes the connection is written          ``FINISHED``
     ``ACCEPTING_REQUESTS``  the client closes, or a poll finds that it has closed     ``FINISHED``
     ``ACCEPTING_REQUESTS``  idle timeout, eviction or draining closes the connection  ``FINISHED``
@@ -40,8 +39,7 @@
     INPUT_ENDED = "input_ended"
     """No further request is accepted and further input is discarded.  Accepted requests are still answered.
 
-    A response is always due in this state, except after the node has stopped accepting requests in a
-    shutdown."""
+    A response is always due in this state."""
 
     FINISHED = "finished"
     """No further response follows.
--- a/load_balancer/proxy/downstream/request_router.py
+++ b/load_balancer/proxy/downstream/request_router.py
@@ -20,6 +20,7 @@
 
     Attributes:
         max_body_bytes: the limit for the total size of the bodies of open requests.
+        rejects_all: whether every request under /api is rejected, because the node is about to stop.
     """
 
     def __init__(
@@ -40,6 +41,7 @@
             max_body_bytes: the limit for the total size of the bodies of open requests.
         """
         self.max_body_bytes = max_body_bytes
+        self.rejects_all = False
         self._parser = parser
         self._accept_request = accept_request
         self._is_ready = is_ready
@@ -64,7 +66,7 @@
         if path != b"/api" and not path.startswith(b"/api/"):
             raise HttpMessageError(404, "the path is not served")
         request = self._parser.parse(message, path)
-        if self._is_over_limit() or self._body_bytes + len(message.body) > self.max_body_bytes:
+        if self.rejects_all or self._is_over_limit() or not self._has_memory_for(message):
             slot.close_after = True
             slot.respond(503, extra_headers=b"Retry-After: %.3f\r\n" % OVERLOAD_RETRY_AFTER_S)
             return True
@@ -73,6 +75,9 @@
         self._accept_request(request, slot)
         return True
 
+    def _has_memory_for(self, message: HttpMessage) -> bool:
+        return self._body_bytes + len(message.body) <= self.max_body_bytes
+
     def release_body(self, slot: ResponseSlot) -> None:
         """Stop counting the body of this slot's request towards the limit for request bodies."""
         self._body_bytes -= slot.body_bytes
--- a/load_balancer/proxy/downstream/server.py
+++ b/load_balancer/proxy/downstream/server.py
@@ -119,11 +119,9 @@
         for connection in idle:
             connection.close(CloseReason.DRAINED)
 
-    def end_input(self) -> None:
-        """Accept no further connection and no further request.  Open requests can still be answered."""
-        self._listener.close()
-        for connection in list(self.table):
-            connection.end_input()
+    def reject_requests(self) -> None:
+        """Reject every request under /api from now on.  Open requests can still be answered."""
+        self.router.rejects_all = True
 
     def close(self) -> None:
         """Close the listening socket and abort every connection."""
--- a/load_balancer/proxy/lifecycle/graceful_shutdown.py
+++ b/load_balancer/proxy/lifecycle/graceful_shutdown.py
@@ -12,7 +12,7 @@
 MIN_DRAIN_S = 0.6  # clients open new connections for up to 0.4 s after SIGTERM
 QUIET_PERIOD_S = 0.25  # the node stops only if no connection or request has arrived for this long
 DRAIN_CHECK_S = 0.02  # interval between two checks whether the node is drained
-FLUSH_S = 0.02  # time for the last responses to be sent
+FLUSH_S = 0.02  # time for the last responses to be sent, and for requests that still arrive to be rejected
 
 
 class GracefulShutdown:
@@ -56,9 +56,9 @@
         if not self._downstream.is_busy() and now - self._downstream.last_activity >= QUIET_PERIOD_S:
             self._stop()
         elif self.deadline.is_over(now):
-            # The node stops after FLUSH_S.  A request that arrived in this time could be accepted but not
-            # answered, so the node accepts no further request.
-            self._downstream.end_input()
+            # The node stops after FLUSH_S.  A request that arrives in this time is rejected at once, because
+            # it could be accepted but not answered.
+            self._downstream.reject_requests()
             self._fail_open_requests()
             self._timers.call_later(FLUSH_S, self._stop)
         else:
--- a/tests/proxy/lifecycle/test_graceful_shutdown.py
+++ b/tests/proxy/lifecycle/test_graceful_shutdown.py
@@ -137,6 +137,29 @@
         await asyncio.wait_for(environment.serving, TIMEOUT_S)
 
 
+@async_test
+async def test_request_between_shutdown_deadline_and_stop_is_rejected(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Such a request was read and dropped, and its connection was closed with no answer.
+    monkeypatch.setattr(graceful_shutdown, "FLUSH_S", TIMEOUT_S)  # the end of the test stops the node
+    async with (
+        StubServer([reply("200 OK")]) as endpoint,
+        running_node(row("a", endpoint.address)) as environment,
+    ):
+        connected = await environment.connect_client()
+        await until(lambda: environment.node.downstream.connections)
+        environment.node.terminate()
+        # The deadline of the shutdown has passed.
+        monkeypatch.setattr(environment.node.shutdown.deadline, "answer_within_s", -1.0)
+        environment.node.shutdown.check_drained()
+        response = await connected.fetch("look")
+        assert (response.status, response.headers["connection"]) == (503, "close")
+        response = await (await environment.connect_client()).fetch("look")
+        assert (response.status, response.headers["connection"]) == (503, "close")
+        assert not endpoint.received
+
+
 @async_test
 async def test_shutdown_deadline_answers_open_requests_and_accepts_none(
     monkeypatch: pytest.MonkeyPatch,
