Count the longest lag of a new discovery address from its first outdated list

Cause: the 8 s began with the change of the address. An address that cannot be reached for that long and then sends an older list would have been taken at its word. Change: the time runs from the first outdated list; until then nothing needs a timer.

--- a/load_balancer/proxy/discovery/address_lag.py
+++ b/load_balancer/proxy/discovery/address_lag.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 
 # A change reaches every address of discovery within 6 s; the rest allows for a heartbeat interval.  An
-# address whose versions are still lower after this time numbers its lists anew.
+# address that has sent only lower versions for this time numbers its lists anew.
 MAX_LAG_S = 8.0
 
 
@@ -26,36 +26,35 @@
         """
         self._on_expired = on_expired
         self._loop = asyncio.get_running_loop()
-        self._timer: asyncio.TimerHandle | None = None
-        self._has_sent_outdated = False
+        self._may_lag = False
+        self._timer: asyncio.TimerHandle | None = None  # runs from the first outdated list on
 
     def begin(self) -> None:
         """Handle a change of the address: the new address may lag behind the previous one."""
         self.end()
-        self._timer = self._loop.call_later(MAX_LAG_S, self._expire)
+        self._may_lag = True
 
     def end(self) -> None:
         """Accept all lists from now on."""
+        self._may_lag = False
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-        self._has_sent_outdated = False
 
     def is_outdated(self, version: int, known_version: int) -> bool:
         """Return whether a list or change that the new address has sent is older than the node's list.
 
         The first one that is not outdated ends the lag, because the following ones are newer still.
         """
-        if self._timer is None:
+        if not self._may_lag:
             return False
-        if version < known_version:
-            self._has_sent_outdated = True
-            return True
-        self.end()
-        return False
+        if version >= known_version:
+            self.end()
+            return False
+        if self._timer is None:
+            self._timer = self._loop.call_later(MAX_LAG_S, self._expire)
+        return True
 
     def _expire(self) -> None:
-        has_sent_outdated = self._has_sent_outdated
         self.end()
-        if has_sent_outdated:
-            self._on_expired()
+        self._on_expired()
