Let the fault proxy accept established connections before a link becomes late

Cause: in the state LATE the proxy stops accepting, so that handshakes wait. A connection that the system had established and the proxy had not accepted stayed in the backlog until the end of the state: its node had written the request at once, the server received it late, and the oracle held the forwarded deadline, which was right when it was written, against the node.

Change: the proxy accepts what is established before it stops. The violation names the node and the server.

--- a/fault_soak/oracle/attempts.py
+++ b/fault_soak/oracle/attempts.py
@@ -104,7 +104,11 @@
 ) -> Iterator[Violation]:
     rule, forwarded_s = Rule.FORWARDED_DEADLINE, attempt.forwarded_deadline_s
     left_s = sent.at + sent.deadline_s - attempt.at
+    path = f"{view.node_of(attempt)} to {attempt.server}"
     if forwarded_s is None or forwarded_s <= 0.0:
-        yield Violation(rule, sent.request_id, f"forwarded deadline {forwarded_s}, {left_s:.3f} s left")
+        yield Violation(
+            rule, sent.request_id, f"forwarded deadline {forwarded_s}, {left_s:.3f} s left, {path}"
+        )
     elif forwarded_s > left_s + DEADLINE_ALLOWANCE_S + view.pause_allowance_s(attempt) + view.lag_s:
-        yield Violation(rule, sent.request_id, f"forwarded deadline {forwarded_s:.3f} s, {left_s:.3f} s left")
+        detail = f"forwarded deadline {forwarded_s:.3f} s, {left_s:.3f} s left, {path}"
+        yield Violation(rule, sent.request_id, detail)
--- a/fault_soak/proxy.py
+++ b/fault_soak/proxy.py
@@ -107,6 +107,9 @@
 
     def _fill_backlog(self) -> None:
         """Fill the backlog of the listener so that the kernel drops the handshakes of further connections."""
+        # A connection that is established already must not wait: only those that are not are late.
+        while self._accept():
+            pass
         self._stop_accepting()
         self._listener.listen(0)
         for _ in range(3):
@@ -131,13 +134,17 @@
             self._accepting = False
             self._loop.remove_reader(self._listener.fileno())
 
-    def _accept(self) -> None:
-        with contextlib.suppress(BlockingIOError, ConnectionError):
+    def _accept(self) -> bool:
+        """Accept one connection, and return whether there was one."""
+        try:
             connection, _ = self._listener.accept()
-            connection.setblocking(False)
-            task = self._loop.create_task(self._relay(connection))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+        except (BlockingIOError, ConnectionError):
+            return False
+        connection.setblocking(False)
+        task = self._loop.create_task(self._relay(connection))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return True
 
     async def _relay(self, connection: socket.socket) -> None:
         try:
