--- a/tests/proxy/downstream/test_connection.py
+++ b/tests/proxy/downstream/test_connection.py
@@ -7,13 +7,17 @@
 
 import pytest
 
-from load_balancer.proxy.downstream.connection import MAX_PIPELINED_REQUESTS, DownstreamConnection
+from load_balancer.proxy.downstream.connection import (
+    MAX_PIPELINED_REQUESTS,
+    PAUSE_READING_AT,
+    DownstreamConnection,
+)
 from load_balancer.proxy.downstream.connection_state import ConnectionState
 from tests.proxy.async_support import TIMEOUT_S, async_test, until
 from tests.proxy.blocking_client import connect_with_small_buffers, open_requests
-from tests.proxy.node_environment import running_node
+from tests.proxy.node_environment import NodeEnvironment, running_node
 from tests.proxy.policy_recorder import PolicyRecorder
-from tests.proxy.stub_client import request
+from tests.proxy.stub_client import Client, request
 from tests.proxy.stub_discovery import row
 from tests.proxy.stub_server import StubServer, reply, silent, when_released
 
@@ -91,6 +95,17 @@
         assert bodies == [by_target[f"/api/{i}"] for i in range(8)]
 
 
+async def _client_that_is_not_read(environment: NodeEnvironment) -> tuple[Client, DownstreamConnection]:
+    """Connect a client that has so many open requests that its connection is not read; return both."""
+    client = await environment.connect_client()
+    client.writer.write(open_requests(PAUSE_READING_AT))
+    (connection,) = await until(
+        lambda: [c for c in environment.node.downstream.connections if c.last_input_at]
+    )
+    await until(lambda: not connection.transport.is_reading)
+    return client, connection
+
+
 @async_test
 async def test_budget_of_request_includes_its_wait_for_earlier_responses() -> None:
     # A request that waited unread, because two requests of its connection were open, got its whole time anew
@@ -99,11 +114,7 @@
     behaviours = [when_released(reply("200 OK", b"x"))]
     async with StubServer(behaviours) as endpoint, running_node(row("a", endpoint.address)) as environment:
         recorder = PolicyRecorder(environment.node)
-        client = await environment.connect_client()
-        client.writer.write(open_requests(2))
-        await until(lambda: len(recorder.budgets) == 2)
-        (connection,) = environment.node.downstream.connections
-        await until(lambda: not connection.transport.is_reading)
+        client, connection = await _client_that_is_not_read(environment)
         client.writer.write(open_requests(1))
         await until(connection.has_unread_input)
         await asyncio.sleep(waited_s)
@@ -118,11 +129,7 @@
     behaviours = [when_released(reply("200 OK", b"x"))]
     async with StubServer(behaviours) as endpoint, running_node(row("a", endpoint.address)) as environment:
         recorder = PolicyRecorder(environment.node)
-        client = await environment.connect_client()
-        client.writer.write(open_requests(2))
-        await until(lambda: len(recorder.budgets) == 2)
-        (connection,) = environment.node.downstream.connections
-        await until(lambda: not connection.transport.is_reading)
+        client, connection = await _client_that_is_not_read(environment)
         await asyncio.sleep(paused_s)
         endpoint.release.set()
         await until(lambda: connection.transport.is_reading)
