Take unused parts out of the stand-ins of the second review

Cause: two cases were replaced, and what only they used was left behind. Change: those parts are removed; what the five cases use is as it was.

--- a/review/common-2/stand_ins.py
+++ b/review/common-2/stand_ins.py
@@ -12,9 +12,7 @@
 import os
 import resource
 import shutil
-import signal
 import socket
-import struct
 import sys
 import tempfile
 import time
@@ -143,11 +141,6 @@
     }
 
 
-def guarantees(**changes: Any) -> dict[str, Any]:
-    """Return the part of the settings with the figures of the rules, with changes."""
-    return {**settings()["guarantees"], **changes}
-
-
 class NodeProcess:
     """One node, started with the command of the deploy file.
 
@@ -238,12 +231,6 @@
         """Return whether the latest process runs."""
         return self._process is not None and self._process.returncode is None
 
-    def signal(self, number: signal.Signals) -> None:
-        """Send a signal to the process."""
-        if self.alive() and self._process is not None:
-            self._record.write(f"{number.name} was sent to the node")
-            self._process.send_signal(number)
-
     async def kill(self) -> None:
         """Kill the process, if it runs, and wait for its end."""
         if self._process is not None:
@@ -408,25 +395,16 @@
         record: the record of the case.
         rows: the whole list, by server.
         generation: the version of the list.
-        answer_after_s: how long the first line of a watch takes.
-        pieces: in how many pieces the first line of a watch comes.
-        piece_gap_s: the time between two of these pieces.
         port: the port at which it listens.
-        told: when each change of a server was made, by the server's id (monotonic, seconds).
     """
 
     record: Record
     rows: dict[str, dict[str, Any]]
     generation: int = 1
-    answer_after_s: float = 0.0
-    pieces: int = 1
-    piece_gap_s: float = 0.0
     port: int = 0
-    told: dict[str, float] = field(default_factory=dict)
     _changes: list[dict[str, Any]] = field(default_factory=list)
     _wake: asyncio.Event = field(default_factory=asyncio.Event)
     _server: asyncio.Server | None = None
-    _watches: set[asyncio.StreamWriter] = field(default_factory=set)
 
     async def start(self) -> None:
         """Listen at a free port."""
@@ -441,7 +419,6 @@
         """Change a server's entry, which a DELETED one loses."""
         self.generation += 1
         self._changes.append(row)
-        self.told[row["instanceId"]] = time.monotonic()
         if row["lifecycle"] == "DELETED":
             self.rows.pop(row["instanceId"], None)
         else:
@@ -450,35 +427,14 @@
         wake, self._wake = self._wake, asyncio.Event()
         wake.set()
 
-    def reset_watches(self) -> None:
-        """Reset all watches that are open now."""
-        self.record.write(f"{len(self._watches)} watches are reset")
-        for writer in list(self._watches):
-            reset(writer)
-
-    async def stop(self) -> None:
-        """Take no new connection, and close the open ones after 1.5 s, as an old address does."""
-        if self._server is not None:
-            self._server.close()
-        await asyncio.sleep(1.5)
-        for writer in list(self._watches):
-            writer.close()
-
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self._watches.add(writer)
-        opened = time.monotonic()
         try:
             with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
                 line, _ = await read_head(reader)
                 self.record.write(f"discovery was asked: {line}")
-                await asyncio.sleep(self.answer_after_s)
-                if writer.transport.is_closing() or reader.at_eof():
-                    self.record.write(f"that call was given up within {time.monotonic() - opened:.3f} s")
-                    return
                 writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
                 await self._watch(writer, int(line.split()[1].rpartition("from=")[2] or 0))
         finally:
-            self._watches.discard(writer)
             writer.close()
 
     async def _watch(self, writer: asyncio.StreamWriter, known: int) -> None:
@@ -486,12 +442,10 @@
         while not writer.transport.is_closing():
             wake = self._wake
             if first:
-                await self._send(writer, self.whole_list(), self.pieces)
+                await self._send(writer, self.whole_list())
             elif self.generation > known:
                 rows = self._changes[known - self.generation :]
-                await self._send(
-                    writer, {"generation": self.generation, "reset": False, "instances": rows}, 1
-                )
+                await self._send(writer, {"generation": self.generation, "reset": False, "instances": rows})
             else:
                 try:
                     await asyncio.wait_for(wake.wait(), 2.0)
@@ -500,13 +454,8 @@
                 continue
             first, known = False, self.generation
 
-    async def _send(self, writer: asyncio.StreamWriter, content: dict[str, Any], pieces: int) -> None:
-        text = json.dumps(content).encode() + b"\n"
-        size = -(-len(text) // pieces)
-        for begin in range(0, len(text), size):
-            if begin:
-                await asyncio.sleep(self.piece_gap_s)
-            write_chunk(writer, text[begin : begin + size])
+    async def _send(self, writer: asyncio.StreamWriter, content: dict[str, Any]) -> None:
+        write_chunk(writer, json.dumps(content).encode() + b"\n")
         self.record.write(f"discovery has sent generation {content['generation']}")
 
 
@@ -515,14 +464,6 @@
     writer.write(b"%x\r\n%s\r\n" % (len(text), text))
 
 
-def reset(writer: asyncio.StreamWriter) -> None:
-    """Close a connection with a reset."""
-    connection = writer.get_extra_info("socket")
-    if connection is not None and not writer.transport.is_closing():
-        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    writer.transport.abort()
-
-
 class Clients:
     """Clients that send requests of one class at a steady rate, each on a connection of its own.
 
@@ -590,11 +531,6 @@
             self.worst_s = max(self.worst_s, time.monotonic() - due)
 
 
-def late_attempts(server: ServerStandIn, after: float) -> list[str]:
-    """Return the ids of the requests whose first byte reached a server after this time."""
-    return [identity for identity, at in server.received if at > after]
-
-
 Case = Callable[[Record, Path], Awaitable[bool]]
 """Plays a case and returns whether the rule held."""
 
