Read TROUBLE in the script of each case of the second review

Cause: the cases read the variable through a function of their shared stand-ins, so no file in their own folders showed where the disruption is switched off. Change: each case.py reads TROUBLE itself, with the same meaning; the shared function is gone.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
 import sys
 import time
@@ -12,6 +13,8 @@
 
 import stand_ins as s
 
+TROUBLED = os.environ.get("TROUBLE", "1") != "0"  # whether the case is played with its disruption
+
 SOCKETS = 1024
 CLIENTS = 400
 AT_ONCE = 16
@@ -47,7 +50,7 @@
         identities = [f"release-{number}-{i}" for i in range(AT_ONCE)]
         text = b"".join(s.request(identity, "release") for identity in identities)
         try:
-            if s.troubled():
+            if TROUBLED:
                 with socket.create_connection((s.HOST, self._port)) as connection:
                     connection.sendall(text)
             else:
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import sys
 import time
 from pathlib import Path
@@ -11,6 +12,8 @@
 
 import stand_ins as s
 
+TROUBLED = os.environ.get("TROUBLE", "1") != "0"  # whether the case is played with its disruption
+
 SERVERS = 3200
 REPLACED = 1920
 RELEASE_S = 7.0
@@ -53,7 +56,7 @@
         load = asyncio.create_task(clients.run("look", "look", RATE, SECONDS))
         await asyncio.sleep(RELEASE_AT_S)
         s.require(bool(clients.answers) and all(got.status for got in clients.answers.values()))
-        if s.troubled():
+        if TROUBLED:
             await replace_servers(discovery, servers)
             record.write("the release is over")
         await load
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import sys
 from pathlib import Path
 
@@ -10,6 +11,8 @@
 
 import stand_ins as s
 
+TROUBLED = os.environ.get("TROUBLE", "1") != "0"  # whether the case is played with its disruption
+
 RATE = 40.0
 SECONDS = 10.0
 SPOILT_ONE_IN = 10
@@ -17,7 +20,7 @@
 
 def is_spoilt(identity: str) -> bool:
     """Return whether the answer to this request is spoilt: one in ten, of each class."""
-    return s.troubled() and int(identity.split("-")[1]) % SPOILT_ONE_IN == 0
+    return TROUBLED and int(identity.split("-")[1]) % SPOILT_ONE_IN == 0
 
 
 async def answer(
--- a/review/common-2/stand_ins.py
+++ b/review/common-2/stand_ins.py
@@ -48,11 +48,6 @@
         self._file.flush()
 
 
-def troubled() -> bool:
-    """Return whether the case is to be played with its disruption."""
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 def require(condition: bool) -> None:
     """Check a condition without which the case says nothing.
 
