Read no request behind the disconnect of its client

Cause: the poll before the first attempt finds the disconnect and closes the transport, but the reader went on with the same input, and the poll took the closing transport for a client that waits. Change: a disconnect stops the reader, and the client of a closing or lost connection counts as gone. This works because every request of the input behind the disconnect ends at the reader, and every attempt is preceded by the poll.

--- a/load_balancer/proxy/downstream/client_transport.py
+++ b/load_balancer/proxy/downstream/client_transport.py
@@ -17,7 +17,7 @@
     """A wrapper of the asyncio transport of one client connection.
 
     Before the connection is made and after it is lost, the methods that act on the transport do nothing, and
-    the methods and properties that query the transport return False or None.
+    the methods and properties that query the transport return False or None, except ``client_has_left``.
 
     Attributes:
         is_attached: whether the connection has been made and not lost.  The connection may be closing.
@@ -62,8 +62,12 @@
         return self._transport is not None and self._transport.get_write_buffer_size() > 0
 
     def client_has_left(self) -> bool:
-        """Return whether the client has closed its side, even if earlier input is still unread."""
-        return self._poll(select.POLLRDHUP)
+        """Return whether the client cannot get a response any more.
+
+        This is the case if the client has closed its side, even if earlier input is still unread, and if the
+        node's side is closing or lost.
+        """
+        return not self.is_open or self._poll(select.POLLRDHUP)
 
     def has_unread_input(self) -> bool:
         """Return whether input has arrived that the event loop has not read yet."""
--- a/load_balancer/proxy/downstream/connection.py
+++ b/load_balancer/proxy/downstream/connection.py
@@ -201,15 +201,24 @@
         Returns:
             False, which makes the event loop close the connection once all written output has been sent.
         """
-        self.state = FINISHED
-        self._responses.abandon_all()
+        self._end_requests()
         return False
 
     def end_after_client_left(self) -> None:
-        """End all requests and close the connection after a poll has found that the client has left."""
-        self.eof_received()
+        """End all requests and close the connection after a poll has found that the client has left.
+
+        A poll for an attempt may run while the input of the connection is being parsed.  The requests that
+        follow in this input are not read, because nobody waits for their responses either.
+        """
+        self._end_requests()
         self.transport.close()
 
+    def _end_requests(self) -> None:
+        """Read no further request, and abandon those that are open, because the client has left."""
+        self.state = FINISHED
+        self._reader.stop()
+        self._responses.abandon_all()
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Clean up after the connection is closed or lost; called by the event loop."""
         self.transport.detach()
--- a/tests/proxy/downstream/test_connection.py
+++ b/tests/proxy/downstream/test_connection.py
@@ -13,6 +13,8 @@
     DownstreamConnection,
 )
 from load_balancer.proxy.downstream.connection_state import ConnectionState
+from load_balancer.proxy.observability.counters import CloseReason
+from load_balancer.proxy.upstream.endpoint_pool import REUSE_DELAY_S
 from tests.proxy.async_support import TIMEOUT_S, async_test, until
 from tests.proxy.blocking_client import connect_with_small_buffers, open_requests
 from tests.proxy.node_environment import NodeEnvironment, running_node
@@ -170,3 +172,37 @@
         statuses = [(await client.read_response()).status for _ in range(MAX_PIPELINED_REQUESTS + 1)]
         assert statuses == [200] * MAX_PIPELINED_REQUESTS + [400]
         assert await client.ends_without_output()
+
+
+@async_test
+async def test_requests_behind_the_disconnect_of_a_client_are_not_forwarded() -> None:
+    # A client sent several requests and closed.  The check of the first one found the disconnect, but the
+    # requests behind it in the same input were forwarded, up to seconds after the close.
+    async with (
+        StubServer([reply("200 OK", b"x")]) as endpoint,
+        running_node(row("a", endpoint.address)) as environment,
+    ):
+        earlier = await environment.connect_client()
+        assert (await earlier.fetch("look")).status == 200
+        await asyncio.sleep(2 * REUSE_DELAY_S)  # an attempt can be written at once, on an idle connection
+        recorder = PolicyRecorder(environment.node)
+        written = environment.node.counters.written
+        with socket.create_connection(environment.address) as client:
+            client.sendall(open_requests(4))  # the event loop does not run before the client closes
+        await until(lambda: recorder.budgets and len(environment.node.downstream.connections) == 1)
+        assert recorder.nothing_open
+        assert environment.node.counters.written == written
+        assert len(recorder.budgets) == 1, "requests behind the disconnect must not be accepted"
+
+
+@async_test
+async def test_no_attempt_starts_while_the_connection_of_the_client_is_closing() -> None:
+    # The poll for the disconnect took a closing connection for one whose client waits, so that an attempt
+    # could start between an abort and its report by the event loop.
+    async with StubServer([silent]) as endpoint, running_node(row("a", endpoint.address)) as environment:
+        client, connection = await _client_that_is_not_read(environment)
+        assert not connection.transport.client_has_left()
+        connection.abort(CloseReason.RESPONSE_UNREAD)
+        assert connection.transport.client_has_left()
+        client.close()
+        endpoint.release.set()
