Merge the changes of the endpoint list that follow a costly one closely

Cause: each change costs the policy work for all endpoints, and the watch passes on every line of a read at once. Evidence: 5.3 ms a change before 3,200 endpoints (policy alone, 300 changes); the new test counted 400 updates for 400 lines.

--- a/load_balancer/proxy/discovery/endpoint_listing.py
+++ b/load_balancer/proxy/discovery/endpoint_listing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Any
 from zlib import crc32
@@ -59,6 +60,29 @@
         return EndpointListKind.FULL if self.complete else EndpointListKind.DELTA
 
 
+def merge_listings(listings: Sequence[EndpointListing]) -> EndpointListing:
+    """Return the listing that has the effect of these listings one after the other.
+
+    Of an endpoint that occurs more than once, the last entry counts.  The entries are in the order in which
+    they were listed last, because the last of several endpoints at one address may replace the others.
+
+    Args:
+        listings: the listings, in the order in which they arrived; at least one.
+    """
+    complete = False
+    endpoints: dict[EndpointId, Endpoint] = {}
+    addresses: dict[EndpointId, Address] = {}
+    for listing in listings:
+        if listing.complete:
+            complete = True
+            endpoints.clear()
+        for endpoint in listing.endpoints:
+            endpoints.pop(endpoint.id, None)
+            endpoints[endpoint.id] = endpoint
+            addresses[endpoint.id] = listing.addresses[endpoint.id]
+    return EndpointListing(listings[-1].version, complete, tuple(endpoints.values()), addresses)
+
+
 class ListingReader:
     """Parses endpoint lists; translates the names of zones and machine types into indices for the policy.
 
--- a/load_balancer/proxy/node.py
+++ b/load_balancer/proxy/node.py
@@ -223,6 +223,7 @@
         self._driver.cancel_timers()
         self._reload.cancel()
         self._discovery.close()
+        self._endpoint_updates.cancel()
         self._downstream.close()
         self._pools.close()
         self._counter_report.stop()
--- a/tests/proxy/discovery/test_endpoint_listing.py
+++ b/tests/proxy/discovery/test_endpoint_listing.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from load_balancer.proxy.discovery.endpoint_listing import ListingError, ListingReader
+from load_balancer.proxy.discovery.endpoint_listing import ListingError, ListingReader, merge_listings
 from tests.proxy.stub_discovery import listing, row
 
 
@@ -44,3 +44,24 @@
     assert [endpoint.zone for endpoint in endpoints] == [1, 1, 1]
     assert len({endpoint.machine_type for endpoint in endpoints}) == 3
     assert (endpoints[0].machine_type, endpoints[2].machine_type) == (1, 0)
+
+
+def test_merged_changes_keep_last_entry_of_each_endpoint_in_order_of_listing() -> None:
+    listing_reader = ListingReader((), ())
+    first = listing(2, row("a", "h:1"), row("b", "h:2"), reset=False)
+    second = listing(3, row("a", "h:3", "DRAINING"), row("c", "h:4"), reset=False)
+    merged = merge_listings([listing_reader.read(first), listing_reader.read(second)])
+    equivalent = listing(3, row("b", "h:2"), row("a", "h:3", "DRAINING"), row("c", "h:4"), reset=False)
+    assert merged == listing_reader.read(equivalent)
+
+
+def test_complete_list_replaces_changes_before_it_when_merged() -> None:
+    listing_reader = ListingReader((), ())
+    raw = (
+        listing(2, row("a", "h:1"), reset=False),
+        listing(3, row("b", "h:2")),
+        listing(4, row("c", "h:3"), reset=False),
+    )
+    merged = merge_listings([listing_reader.read(each) for each in raw])
+    assert merged.complete
+    assert [endpoint.id for endpoint in merged.endpoints] == [b"b", b"c"]
--- a/tests/proxy/test_endpoint_updates.py
+++ b/tests/proxy/test_endpoint_updates.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import time
 
 import pytest
 
+from load_balancer.actions import Action
+from load_balancer.events import EndpointListKind, EndpointListUpdate, EndpointState, Event
 from tests.proxy.async_support import TIMEOUT_S, async_test, until
 from tests.proxy.node_environment import running_node
-from tests.proxy.policy_recorder import PolicyRecorder
+from tests.proxy.policy_recorder import PolicyRecorder, replace_policy
 from tests.proxy.stub_discovery import listing, row, send_line
 from tests.proxy.stub_server import StubServer, reply
 
@@ -87,3 +90,55 @@
         await until(lambda: recorder.events)
         assert (await client.fetch(target="/ready")).status == 200
         assert (await client.fetch("look")).status == 200
+
+
+def _use_processor(seconds: float) -> None:
+    until_s = time.thread_time() + seconds
+    while time.thread_time() < until_s:
+        pass
+
+
+@async_test
+async def test_changes_that_cost_much_are_applied_together() -> None:
+    # A release in a fleet of 3,200 servers, told change by change, kept a node busy with the list alone:
+    # clients got no answer for as long as the changes and their backlog lasted.
+    changes, cost_s = 200, 0.02
+    async with running_node(has_cached_list=False, registryMode="pushed") as environment:
+        updates: list[EndpointListUpdate] = []
+
+        def handle_slowly(event: Event, _: float) -> list[Action]:
+            if isinstance(event, EndpointListUpdate):
+                updates.append(event)
+                _use_processor(cost_s)
+            return []
+
+        replace_policy(environment.node, handle_slowly)
+        watch = await environment.discovery.watch()
+        for i in range(changes):
+            send_line(watch, listing(i + 1, row(f"s{i}", f"127.0.0.1:{i + 1}"), reset=False))
+            send_line(watch, listing(i + 1, row(f"s{i}", f"127.0.0.1:{i + 1}", "DRAINING"), reset=False))
+        await until(lambda: updates and updates[-1].version == changes)
+        applied = [endpoint for update in updates for endpoint in update.endpoints]
+        assert len(updates) < changes / 10
+        assert {e.id for e in applied if e.state is EndpointState.DRAINING} == {
+            b"s%d" % i for i in range(changes)
+        }
+
+
+@async_test
+async def test_failed_poll_is_reported_after_the_lists_before_it() -> None:
+    async with running_node(row("a", "127.0.0.1:1")) as environment:
+        recorder = PolicyRecorder(environment.node)
+        watch = await environment.discovery.watch()
+        for i in range(3):
+            send_line(watch, listing(i + 2, row("a", "127.0.0.1:1"), reset=False))
+        send_line(watch, b"{nonsense")
+        versions = await until(
+            lambda: [
+                event.version
+                for event in recorder.events
+                if isinstance(event, EndpointListUpdate) and event.kind is EndpointListKind.FAILED
+            ]
+            and [event.version for event in recorder.events if isinstance(event, EndpointListUpdate)]
+        )
+        assert versions[-2] == 4, "the changes before the failure were not applied"
