Take a response that is longer than its Content-Length as malformed

Cause: input behind the end of a message closed the connection and nothing more, although the rest of the body was in hand. Evidence: six new tests failed before (outcome ok, and rejected as never run, in place of malformed_response). Change: the reader returns what follows the message, and where the length is given by Content-Length, anything but the start of a second response makes it malformed. This works because the input is split exactly where the message ends. A good answer with noise right behind it fails now: it cannot be told from a length that is too small. The mutation "reuse with unread input" of the fault test edits the line that takes the place of the one it edited.

--- a/fault_soak/mutations.py
+++ b/fault_soak/mutations.py
@@ -206,9 +206,7 @@
             Edit(
                 "load_balancer/proxy/upstream/endpoint_pool.py", " and connection.has_no_unread_input()", ""
             ),
-            Edit(
-                "load_balancer/proxy/upstream/connection.py", " and not self._reader.has_input_after_stop", ""
-            ),
+            Edit("load_balancer/proxy/upstream/connection.py", " and not has_surplus", ""),
         ),
         frozenset({FaultKind.SERVER_MALFORMED_RESPONSES, FaultKind.NODE_PAUSE}),
     ),
--- a/load_balancer/proxy/http/reader.py
+++ b/load_balancer/proxy/http/reader.py
@@ -141,6 +141,7 @@
 
     __slots__ = (
         "_body",
+        "_body_length",
         "_failure",
         "_has_input_after_stop",
         "_head_size",
@@ -171,6 +172,7 @@
         # The part of the body that has been read; empty between messages.  It is not a list of parts, because
         # a body in small chunks would take many times its size.
         self._body = bytearray()
+        self._body_length: int | None = None  # by Content-Length; None if the end is found in another way
         self._stopped = False
         self._has_input_after_stop = False
 
@@ -199,6 +201,35 @@
             if self._has_input_after_stop:
                 return
 
+    def feed_until_stopped(self, data: bytes) -> bytes:
+        """Parse a piece of input like ``feed``, but no further than to the message that stops the reader.
+
+        The callback stops the reader.  The parser does not tell where in the input a message ends, so the
+        input is split there before it is parsed: a head after each of its lines, a body by Content-Length.
+
+        Returns:
+            The input after the message.  It is empty if a chunked message stops the reader; then
+            ``has_input_after_stop`` tells whether more input followed.
+
+        Raises:
+            HttpMessageError: the input is malformed or exceeds a limit.  The reader cannot be used any more.
+        """
+        view = memoryview(data)
+        begin = 0
+        while begin < len(data) and not self._stopped:
+            end = self._next_split(data, begin)
+            self.feed(view[begin:end])
+            begin = end
+        return data[begin:]
+
+    def _next_split(self, data: bytes, begin: int) -> int:
+        """Return a position after ``begin`` that is not behind the end of the message there."""
+        if self._state is _HEAD:
+            return data.find(b"\n", begin) + 1 or len(data)
+        if self._body_length is None:
+            return len(data)
+        return min(len(data), begin + self._body_length - len(self._body))
+
     def _parse(self, data: bytes | memoryview) -> None:
         self._input_left -= len(data)
         try:
@@ -322,11 +353,13 @@
         """
         length = message.headers.get(CONTENT_LENGTH)
         coding = message.headers.get(TRANSFER_ENCODING)
+        self._body_length = None
         if coding is not None:
             if length is not None or coding.lower() != b"chunked":
                 self._fail(400, "the transfer encoding is not supported")
         elif length is not None:
-            if int(length) > MAX_BODY_BYTES:
+            self._body_length = int(length)
+            if self._body_length > MAX_BODY_BYTES:
                 self._fail(413, _BODY_TOO_LARGE)
         elif isinstance(self._parser, httptools.HttpResponseParser) and not _has_no_body(
             self._parser.get_status_code()
--- a/load_balancer/proxy/upstream/connection.py
+++ b/load_balancer/proxy/upstream/connection.py
@@ -18,6 +18,8 @@
 
 log = logging.getLogger(__name__)
 
+_RESPONSE_START = b"HTTP/1."
+
 
 class ConnectionState(Enum):
     """The state of a connection to an endpoint.
@@ -146,13 +148,15 @@
             self.abort()  # unsolicited bytes must not be read as the response to the next request
             return
         try:
-            self._reader.feed(data)
+            surplus = self._reader.feed_until_stopped(data)
+            if not _may_follow_response(surplus):
+                raise HttpMessageError(502, "the body is longer than Content-Length")
         except HttpMessageError as error:
             log.warning("response_malformed endpoint=%s problem=%s", self._endpoint_name, str(error))
             self._fail(Outcome.MALFORMED_RESPONSE)
             return
         if self._response is not None:
-            self._complete(self._response)
+            self._complete(self._response, has_surplus=bool(surplus) or self._reader.has_input_after_stop)
 
     def eof_received(self) -> bool:
         """Handle an orderly close by the endpoint, which completes a response without a length.
@@ -165,7 +169,7 @@
         if self._state is _IN_FLIGHT:
             self._reader.end_of_input()
             if self._response is not None:
-                self._complete(self._response)
+                self._complete(self._response, has_surplus=False)
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -193,13 +197,16 @@
         self._reader.stop()
         self._response = message
 
-    def _complete(self, response: HttpMessage) -> None:
+    def _complete(self, response: HttpMessage, *, has_surplus: bool) -> None:
         """Report the response, and release the connection or close it.
 
-        A connection that received surplus bytes after the response must not carry another request.
+        Args:
+            response: the complete response.
+            has_surplus: whether surplus bytes were received after the response.  The connection must then not
+                carry another request.
         """
         request, self._request, self._response = self._request, None, None
-        if response.keep_alive and self.is_open() and not self._reader.has_input_after_stop:
+        if response.keep_alive and self.is_open() and not has_surplus:
             self._state = _IDLE
             self._reader.resume()
             self._acknowledge()
@@ -223,6 +230,15 @@
             transport_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_QUICKACK, 1)
 
 
+def _may_follow_response(surplus: bytes) -> bool:
+    """Return whether the response before these surplus bytes may be complete.
+
+    A second response may follow the first one.  Any other surplus may be the rest of a body that is longer
+    than its Content-Length, and cannot be distinguished from bytes that do not belong to the response.
+    """
+    return not surplus or surplus.startswith(_RESPONSE_START)
+
+
 def _outcome_of(response: HttpMessage) -> Outcome:
     """Return the outcome of a request that received this complete response."""
     if response.status == 200:
--- a/tests/proxy/http/test_reader.py
+++ b/tests/proxy/http/test_reader.py
@@ -161,3 +161,27 @@
     reader.feed(2 * POST)
     assert len(messages) == 2
     assert reader.has_input_after_stop
+
+
+EARLY_HINT = b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+RESPONSE = EARLY_HINT + b"HTTP/1.1 200 OK\r\nX-Load: {}\r\nContent-Length: 4\r\n\r\nbody"
+
+
+@pytest.mark.parametrize("surplus", [b"", b"\r\n", b"more", RESPONSE])
+@pytest.mark.parametrize("piece_bytes", [1, 2, 5, len(RESPONSE) - 1, len(RESPONSE), 1000])
+def test_input_behind_the_message_that_stops_a_reader_is_returned(surplus: bytes, piece_bytes: int) -> None:
+    # The rest of a body whose Content-Length is too small has to be told from the end of the input.
+    messages: list[HttpMessage] = []
+
+    def handle_message(message: HttpMessage) -> None:
+        messages.append(message)
+        reader.stop()
+
+    reader = HttpReader(handle_message, requests=False)
+    stream = RESPONSE + surplus
+    returned = b"".join(
+        reader.feed_until_stopped(stream[begin : begin + piece_bytes])
+        for begin in range(0, len(stream), piece_bytes)
+    )
+    assert returned == surplus
+    assert [message.body for message in messages] == [b"body"]
--- a/tests/proxy/upstream/test_connection.py
+++ b/tests/proxy/upstream/test_connection.py
@@ -14,6 +14,7 @@
 NOT_RUN = "X-Not-Run: 1\r\n"
 NO_LENGTH_HEAD = b"HTTP/1.1 200 OK\r\n\r\n"
 CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+COMPLETE = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"
 EARLY_HINTS = b"HTTP/1.1 103 Early\r\nX: " + b"x" * 9000 + b"\r\n\r\n"
 
 
@@ -71,6 +72,37 @@
         assert len(endpoint.received) == 1
 
 
+@pytest.mark.parametrize(
+    "response",
+    [
+        pytest.param(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nbody", id="half"),
+        pytest.param(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nbody", id="none"),
+        pytest.param(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody\r\n", id="without line break"),
+        pytest.param(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbodyH", id="without last byte"),
+        pytest.param(
+            b"HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nbody", id="interim"
+        ),
+        pytest.param(
+            b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 2\r\n\r\nbody",
+            id="rejected",
+        ),
+    ],
+)
+@async_test
+async def test_response_whose_length_is_too_small_is_malformed(response: bytes) -> None:
+    # Half of a body was served as a complete response, because its Content-Length was too small: the rest
+    # counted as surplus, which only closed the connection.
+    async with StubServer([raw(response)]) as endpoint, upstream(endpoint.address) as harness:
+        assert (await harness.send())[0] is Outcome.MALFORMED_RESPONSE
+
+
+@pytest.mark.parametrize("response", [COMPLETE, CHUNKED_HEAD + b"4\r\nbody\r\n0\r\n\r\n"])
+@async_test
+async def test_second_response_does_not_spoil_the_first(response: bytes) -> None:
+    async with StubServer([raw(response, times=2)]) as endpoint, upstream(endpoint.address) as harness:
+        assert await harness.send() == (Outcome.OK, b"body")
+
+
 @async_test
 async def test_missing_response_times_out_and_closes_connection() -> None:
     async with StubServer([silent]) as endpoint, upstream(endpoint.address) as harness:
