Bound the memory of incomplete requests, heads and unread responses together

Cause: only bodies of complete requests were counted; what is held of incomplete ones was bounded for each connection and not in sum, and heads, records of requests and unread responses were not counted at all. Change: one budget for what clients make the node hold, by what it costs; over it the incomplete request that has had no input for longest is refused with 503. This works because such a request was never accepted, and the sum is checked after each input. The test of the old limit on bodies holds the same for the new limit, with bodies of 60,000 bytes for 100.

--- a/load_balancer/proxy/downstream/client_transport.py
+++ b/load_balancer/proxy/downstream/client_transport.py
@@ -59,7 +59,11 @@
 
     def has_unsent_output(self) -> bool:
         """Return whether the transport still buffers output that the operating system has not taken yet."""
-        return self._transport is not None and self._transport.get_write_buffer_size() > 0
+        return self.unsent_bytes() > 0
+
+    def unsent_bytes(self) -> int:
+        """Return the size of the output that the operating system has not taken yet."""
+        return 0 if self._transport is None else self._transport.get_write_buffer_size()
 
     def client_has_left(self) -> bool:
         """Return whether the client cannot get a response any more.
--- a/load_balancer/proxy/downstream/connection.py
+++ b/load_balancer/proxy/downstream/connection.py
@@ -172,6 +172,9 @@
         except Exception:
             log.exception("request_read_failed")
             self.respond_with_error(500)
+        if self.state is ACCEPTING_REQUESTS:
+            self.owner.memory.set_incomplete(self, self._reader.held_bytes)
+            self.owner.shed_incomplete_requests()
 
     def _on_request(self, message: HttpMessage) -> None:
         slot = ResponseSlot(self, not message.keep_alive, self._arrival.earliest_s)
@@ -229,9 +232,9 @@
         self._responses.abandon_all()
         self._reader.close()
 
-    def release_body(self, slot: ResponseSlot) -> None:
-        """Stop counting the body of this slot's request towards the limit for request bodies."""
-        self.owner.release_body(slot)
+    def release_memory(self, slot: ResponseSlot) -> None:
+        """Stop counting the request of this slot towards the limit on memory."""
+        self.owner.release_memory(slot)
 
     # Sending responses.
 
@@ -253,9 +256,13 @@
             if slot.close_after:
                 self._finish()
                 return
+        if self.write_paused:
+            self._count_unread_output()
         self._update_reading()
 
-    def respond_with_error(self, status: int, slot: ResponseSlot | None = None) -> None:
+    def respond_with_error(
+        self, status: int, slot: ResponseSlot | None = None, extra_headers: bytes = b""
+    ) -> None:
         """Send an error response to invalid input or to an overdue request, and close the connection.
 
         The error response follows the responses to the earlier requests.  Earlier requests that are still
@@ -265,15 +272,18 @@
         Args:
             status: the status code of the error response.
             slot: the slot of the invalid request, or None if no complete request was read.
+            extra_headers: further header lines of the response, each ending with CRLF.
         """
         self.end_input()
+        self._reader.discard()
+        self.owner.memory.set_incomplete(self, 0)
         if self.state is FINISHED:
             return
         if slot is None:
             slot = ResponseSlot(self, True)
             self._responses.append(slot)
         slot.close_after = True
-        slot.respond(status)
+        slot.respond(status, extra_headers=extra_headers)
         if self._responses:
             self._open_requests_timer = asyncio.get_running_loop().call_later(
                 OPEN_REQUESTS_TIMEOUT_S, self._responses.fail_open_requests, status
@@ -333,13 +343,18 @@
     def pause_writing(self) -> None:
         """Pause reading while the client does not read its responses; called by the event loop."""
         self.write_paused = True
+        self._count_unread_output()
         self._update_reading()
 
     def resume_writing(self) -> None:
         """Resume reading when the client reads its responses again; called by the event loop."""
         self.write_paused = False
+        self._count_unread_output()
         self._update_reading()
 
+    def _count_unread_output(self) -> None:
+        self.owner.memory.set_unread(self, self.transport.unsent_bytes() if self.write_paused else 0)
+
     def _update_reading(self) -> None:
         """Pause or resume reading, to limit the memory that one client can use.
 
--- a/load_balancer/proxy/downstream/connection_owner.py
+++ b/load_balancer/proxy/downstream/connection_owner.py
@@ -5,6 +5,7 @@
 import typing
 
 from load_balancer.proxy.downstream.input_pacer import InputPacer
+from load_balancer.proxy.downstream.memory_budget import MemoryBudget
 from load_balancer.proxy.downstream.response_slot import ResponseSlot
 from load_balancer.proxy.event_loop.loop_iterations import LoopIterations
 from load_balancer.proxy.http.reader import HttpMessage
@@ -33,6 +34,10 @@
     rules: RuleMonitor
     pacer: InputPacer
 
+    @property
+    def memory(self) -> MemoryBudget[DownstreamConnection]:
+        """Counts the memory that the connections hold."""
+
     @property
     def table(self) -> EvictionTable:
         """The table of the open connections of the server, which may evict them."""
@@ -66,5 +71,8 @@
             HttpMessageError: the request is invalid, or the node does not serve its path or method.
         """
 
-    def release_body(self, slot: ResponseSlot) -> None:
-        """Stop counting the body of this slot's request towards the limit for request bodies."""
+    def release_memory(self, slot: ResponseSlot) -> None:
+        """Stop counting the request of this slot towards the limit on memory."""
+
+    def shed_incomplete_requests(self) -> None:
+        """Refuse incomplete requests while more memory is held than allowed, if there are any."""
--- a/load_balancer/proxy/downstream/request_router.py
+++ b/load_balancer/proxy/downstream/request_router.py
@@ -3,23 +3,26 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Generic
 
+from load_balancer.proxy.downstream.memory_budget import Connection, MemoryBudget
 from load_balancer.proxy.downstream.request_parsing import ParsedRequest, RequestParser
 from load_balancer.proxy.downstream.response_slot import ResponseSlot
 from load_balancer.proxy.http.reader import HttpMessage, HttpMessageError
 
-# The Retry-After value of the responses to requests that are rejected for lack of capacity.
-OVERLOAD_RETRY_AFTER_S = 0.5
+# The header of the responses to requests that are rejected for lack of capacity.
+OVERLOAD_RETRY_AFTER = b"Retry-After: 0.500\r\n"
+# The memory in bytes that an open request takes beside its message: its records, timers and attempts.
+REQUEST_OVERHEAD_BYTES = 4096
 
 AcceptRequest = Callable[[ParsedRequest, ResponseSlot], None]
 """Takes over a valid request, which will be answered through its response slot."""
 
 
-class RequestRouter:
-    """Handles each request by its path, and limits the memory for the bodies of open requests.
+class RequestRouter(Generic[Connection]):
+    """Handles each request by its path, and limits the memory for open requests.
 
     Attributes:
-        max_body_bytes: the limit for the total size of the bodies of open requests.
         rejects_all: whether every request under /api is rejected, because the node is about to stop.
     """
 
@@ -29,7 +32,7 @@
         accept_request: AcceptRequest,
         is_ready: Callable[[], bool],
         is_over_limit: Callable[[], bool],
-        max_body_bytes: int,
+        memory: MemoryBudget[Connection],
     ) -> None:
         """Initialize the router without open requests.
 
@@ -38,15 +41,14 @@
             accept_request: takes over a valid request under /api.
             is_ready: returns whether readiness checks succeed.
             is_over_limit: returns whether too many connections are open, so that requests are rejected.
-            max_body_bytes: the limit for the total size of the bodies of open requests.
+            memory: counts the memory of open requests.
         """
-        self.max_body_bytes = max_body_bytes
         self.rejects_all = False
         self._parser = parser
         self._accept_request = accept_request
         self._is_ready = is_ready
         self._is_over_limit = is_over_limit
-        self._body_bytes = 0
+        self._memory = memory
 
     def route(self, message: HttpMessage, slot: ResponseSlot) -> bool:
         """Answer a complete request, or pass it on to be forwarded.
@@ -66,19 +68,17 @@
         if path != b"/api" and not path.startswith(b"/api/"):
             raise HttpMessageError(404, "the path is not served")
         request = self._parser.parse(message, path)
-        if self.rejects_all or self._is_over_limit() or not self._has_memory_for(message):
+        cost_bytes = REQUEST_OVERHEAD_BYTES + message.head_cost_bytes + len(message.body)
+        if self.rejects_all or self._is_over_limit() or not self._memory.has_room_for(cost_bytes):
             slot.close_after = True
-            slot.respond(503, extra_headers=b"Retry-After: %.3f\r\n" % OVERLOAD_RETRY_AFTER_S)
+            slot.respond(503, extra_headers=OVERLOAD_RETRY_AFTER)
             return True
-        slot.body_bytes = len(message.body)
-        self._body_bytes += slot.body_bytes
+        slot.reserved_bytes = cost_bytes
+        self._memory.reserve(cost_bytes)
         self._accept_request(request, slot)
         return True
 
-    def _has_memory_for(self, message: HttpMessage) -> bool:
-        return self._body_bytes + len(message.body) <= self.max_body_bytes
-
-    def release_body(self, slot: ResponseSlot) -> None:
-        """Stop counting the body of this slot's request towards the limit for request bodies."""
-        self._body_bytes -= slot.body_bytes
-        slot.body_bytes = 0
+    def release_memory(self, slot: ResponseSlot) -> None:
+        """Stop counting the request of this slot towards the limit on memory."""
+        self._memory.release(slot.reserved_bytes)
+        slot.reserved_bytes = 0
--- a/load_balancer/proxy/downstream/response_slot.py
+++ b/load_balancer/proxy/downstream/response_slot.py
@@ -24,8 +24,8 @@
     def must_close_after(self, slot: ResponseSlot) -> bool:
         """Return whether the connection must close after the response in this slot."""
 
-    def release_body(self, slot: ResponseSlot) -> None:
-        """Stop counting the body of this slot's request towards the limit for request bodies."""
+    def release_memory(self, slot: ResponseSlot) -> None:
+        """Stop counting the request of this slot towards the limit on memory."""
 
     def flush(self) -> None:
         """Send the available responses in order, up to the first request that has no response yet."""
@@ -40,7 +40,7 @@
             arrived.
         abandoned: whether no response can be sent any more, because the client has left or the connection is
             closing.
-        body_bytes: the size of the request body while it counts towards the limit for request bodies, else 0.
+        reserved_bytes: the memory of the request while it counts towards the limit on memory, else 0.
         status: the status code of the response, or 0 until there is a response.
         output: the complete response in bytes, or None until there is a response.
         on_abandoned: called to end the request when the slot is abandoned before there is a response, or
@@ -51,10 +51,10 @@
         "_connection",
         "abandoned",
         "arrived_at_s",
-        "body_bytes",
         "close_after",
         "on_abandoned",
         "output",
+        "reserved_bytes",
         "status",
     )
 
@@ -63,7 +63,7 @@
         self.close_after = close_after
         self.arrived_at_s = arrived_at_s
         self.abandoned = False
-        self.body_bytes = 0
+        self.reserved_bytes = 0
         self.status = 0
         self.output: bytes | None = None
         self.on_abandoned: Callable[[], None] | None = None
@@ -89,7 +89,7 @@
         if self.abandoned or self.output is not None:
             return
         self.close_after = self.close_after or self._connection.must_close_after(self)
-        self._connection.release_body(self)
+        self._connection.release_memory(self)
         self.status = status
         self.output = render_response(status, body, extra_headers, close=self.close_after)
         self._connection.flush()
@@ -106,6 +106,6 @@
     def abandon(self) -> None:
         """Mark the slot as abandoned, and end its request if there is no response yet."""
         self.abandoned = True
-        self._connection.release_body(self)
+        self._connection.release_memory(self)
         if self.on_abandoned is not None and self.output is None:
             self.on_abandoned()
--- a/load_balancer/proxy/downstream/server.py
+++ b/load_balancer/proxy/downstream/server.py
@@ -12,8 +12,9 @@
 from load_balancer.proxy.downstream.disconnect_poller import DisconnectPoller
 from load_balancer.proxy.downstream.input_pacer import InputPacer
 from load_balancer.proxy.downstream.listener import Listener
+from load_balancer.proxy.downstream.memory_budget import MemoryBudget
 from load_balancer.proxy.downstream.request_parsing import RequestParser
-from load_balancer.proxy.downstream.request_router import AcceptRequest, RequestRouter
+from load_balancer.proxy.downstream.request_router import OVERLOAD_RETRY_AFTER, AcceptRequest, RequestRouter
 from load_balancer.proxy.downstream.response_slot import ResponseSlot
 from load_balancer.proxy.downstream.timeouts import TIMEOUT_CHECK_INTERVAL_S, enforce_timeouts
 from load_balancer.proxy.event_loop.loop_iterations import LoopIterations
@@ -32,6 +33,7 @@
         pacer: limits the bulk input that one iteration of the event loop reads.
         draining: whether the node is draining, so that responses close their connections.
         last_activity: when a connection was last opened or a request was last read (monotonic, seconds).
+        memory: counts the memory that the connections hold.
         table: the table of the open connections, which also evicts connections.
         router: routes the requests.
         disconnect_poller: polls the connections that are not read.
@@ -47,7 +49,7 @@
         rules: RuleMonitor,
         *,
         max_connections: int,
-        max_body_bytes: int,
+        max_memory_bytes: int,
     ) -> None:
         self.iterations = iterations
         self.counters = counters
@@ -55,13 +57,14 @@
         self.pacer = InputPacer()
         self.draining = False
         self.last_activity = 0.0
+        self.memory: MemoryBudget[DownstreamConnection] = MemoryBudget(max_memory_bytes)
         self.table = ConnectionTable(max_connections)
         self.router = RequestRouter(
             parser,
             accept_request,
             lambda: is_ready() and not self.draining,
             self.table.is_over_limit,
-            max_body_bytes,
+            self.memory,
         )
         self.disconnect_poller = DisconnectPoller()
         self._listener = Listener(
@@ -156,6 +159,7 @@
         self.table.remove(connection)
         self.disconnect_poller.remove(connection)
         self.pacer.remove(connection)
+        self.memory.remove(connection)
         self._listener.connection_closed()
 
     def reading_paused(self, connection: DownstreamConnection) -> None:
@@ -186,6 +190,15 @@
         self.last_activity = self.now()
         return self.router.route(message, slot)
 
-    def release_body(self, slot: ResponseSlot) -> None:
-        """Stop counting the body of this slot's request towards the limit for request bodies."""
-        self.router.release_body(slot)
+    def release_memory(self, slot: ResponseSlot) -> None:
+        """Stop counting the request of this slot towards the limit on memory."""
+        self.router.release_memory(slot)
+
+    def shed_incomplete_requests(self) -> None:
+        """Refuse incomplete requests while more memory is held than allowed, if there are any.
+
+        A request that is not complete has not been accepted, so its client may send it again.
+        """
+        while (connection := self.memory.excess_holder()) is not None:
+            self.counters.shed_incomplete += 1
+            connection.respond_with_error(503, extra_headers=OVERLOAD_RETRY_AFTER)
--- a/load_balancer/proxy/http/reader.py
+++ b/load_balancer/proxy/http/reader.py
@@ -23,6 +23,8 @@
 # The parser gets at most this much input at once, so that the limits are checked before it has processed or
 # collected much more than they allow.
 MAX_PARSED_BYTES = 16 * 1024
+# The memory in bytes that a header takes beside its characters: two objects and an entry in a dictionary.
+HEADER_OVERHEAD_BYTES = 200
 # Matches a valid request id or idempotency key.  The node forwards both unchanged, so it accepts only visible
 # ASCII characters in them.
 TOKEN_PATTERN = re.compile(rb"[!-~]{1,256}")
@@ -59,6 +61,7 @@
         duplicate_headers: the lower-case names of the headers that occur more than once.
         body: the body, without the chunk sizes and chunk delimiters of a chunked message.
         keep_alive: whether the connection may carry another message.
+        head_cost_bytes: the memory that the target and the headers take, with the overhead of each header.
     """
 
     target: bytes = b""
@@ -68,6 +71,7 @@
     duplicate_headers: set[bytes] = field(default_factory=set)
     body: bytes = b""
     keep_alive: bool = False
+    head_cost_bytes: int = 0
 
 
 class MessageHandler(Protocol):
@@ -186,6 +190,17 @@
         """Whether more input followed the message after which the reader was stopped."""
         return self._has_input_after_stop
 
+    @property
+    def held_bytes(self) -> int:
+        """The memory that the incomplete message takes; 0 between messages."""
+        if self._message is None:
+            return 0
+        unfinished_bytes = MAX_HEAD_BYTES - self._input_left
+        return self._head_cost_bytes() + max(unfinished_bytes - self._head_size, 0) + len(self._body)
+
+    def _head_cost_bytes(self) -> int:
+        return self._head_size + HEADER_OVERHEAD_BYTES * self._header_count
+
     def feed(self, data: bytes | memoryview) -> None:
         """Parse a piece of input, and pass each message that it completes to the callback.
 
@@ -249,6 +264,11 @@
         """Read no further message, not even one that follows in the piece of input that is being parsed."""
         self._stopped = True
 
+    def discard(self) -> None:
+        """Drop the incomplete message.  The reader must not be fed any more, and must not be parsing."""
+        self._message = None
+        self._body.clear()
+
     def resume(self) -> None:
         """Read messages again after a stop.  Allowed only if ``has_input_after_stop`` is false."""
         self._stopped = False
@@ -329,6 +349,7 @@
             return
         self._message, self._state = None, _HEAD
         message.body = bytes(self._body)
+        message.head_cost_bytes = self._head_cost_bytes()
         self._body.clear()
         message.keep_alive = keep_alive
         if _is_interim(message.status):
--- a/load_balancer/proxy/node.py
+++ b/load_balancer/proxy/node.py
@@ -35,9 +35,9 @@
 # The timeout of a poll, as a fraction of the time between polls of the endpoint list, so that a poll without
 # a response fails before the next poll starts.
 POLL_TIMEOUT_FRACTION = 0.4
-# The fraction of the memory limit that the bodies of open requests may use.  Buffers may use the same amount
-# in addition.
-BODY_MEMORY_FRACTION = 0.25
+# The fraction of the memory limit that clients may make the node hold: open and incomplete requests, and
+# responses that are not read.  The rest is for the program, the endpoint list and the buffers of endpoints.
+CLIENT_MEMORY_FRACTION = 0.25
 
 
 class Node:
@@ -132,7 +132,7 @@
             self._counters,
             self._rules,
             max_connections=max_connections,
-            max_body_bytes=int(BODY_MEMORY_FRACTION * self._config.limits.memory_mb * 1_000_000),
+            max_memory_bytes=int(CLIENT_MEMORY_FRACTION * self._config.limits.memory_mb * 1_000_000),
         )
 
     # Access to the parts of the node.
--- a/load_balancer/proxy/observability/counters.py
+++ b/load_balancer/proxy/observability/counters.py
@@ -45,6 +45,7 @@
         responses: responses by status, including responses to readiness checks.
         finished: requests that were rejected or failed, by reason.
         written: attempts whose bytes were written to a connection.
+        shed_incomplete: requests that were refused before they were complete, for lack of memory.
         withheld: attempts that were not written because the deduplication window of their key had ended.
         outcomes: attempts that have ended, by outcome.
         closed: client connections that the node closed, by reason.
@@ -53,6 +54,7 @@
     def __init__(self) -> None:
         self.accepted = 0
         self.abandoned = 0
+        self.shed_incomplete = 0
         self.written = 0
         self.withheld = 0
         self.responses: Counter[int] = Counter()
@@ -65,6 +67,7 @@
         fields = {
             "accepted": str(self.accepted),
             "abandoned": str(self.abandoned),
+            "shed_incomplete": str(self.shed_incomplete),
             "written": str(self.written),
             "withheld": str(self.withheld),
             "responses": _format_counts(
--- a/tests/proxy/downstream/test_request_router.py
+++ b/tests/proxy/downstream/test_request_router.py
@@ -1,4 +1,4 @@
-"""Test of the limit for the total size of the bodies of open requests."""
+"""Test of the limit on the memory of open requests."""
 
 from __future__ import annotations
 
@@ -18,15 +18,16 @@
         StubServer([silent, reply("200 OK")]) as endpoint,
         running_node(row("a", endpoint.address)) as environment,
     ):
-        environment.node.downstream.router.max_body_bytes = 150
+        environment.node.downstream.memory.max_bytes = 90_000
+        body = b"x" * 60_000
         first = await environment.connect_client()
-        first.writer.write(request("book", body=b"x" * 100))
+        first.writer.write(request("book", body=body))
         await asyncio.wait_for(endpoint.request_received.wait(), TIMEOUT_S)
-        response = await (await environment.connect_client()).fetch("book", body=b"x" * 100)
+        response = await (await environment.connect_client()).fetch("book", body=body)
         assert response.status == 503
         assert float(response.headers["retry-after"]) > 0
         assert len(endpoint.received) == 1
         first.close()
         await until(lambda: not environment.node.requests)
-        assert (await (await environment.connect_client()).fetch("book", body=b"x" * 100)).status == 200
+        assert (await (await environment.connect_client()).fetch("book", body=body)).status == 200
         endpoint.release.set()
--- a/tests/proxy/node_environment.py
+++ b/tests/proxy/node_environment.py
@@ -50,6 +50,7 @@
 async def running_node(
     *rows: Mapping[str, object],
     sockets: int = 256,
+    memory_mb: int = 192,
     has_cached_list: bool = True,
     path: str = "",
     **changes: Any,
@@ -59,6 +60,7 @@
     Args:
         rows: the endpoints in the node's cached list.
         sockets: the limit on descriptors.
+        memory_mb: the limit on memory, in megabytes.
         has_cached_list: whether the node starts with a cached list.
         path: the path of the configuration file, for tests of a reload.
         changes: changes to the sample settings.
@@ -71,7 +73,7 @@
             listen=Address(HOST, 0),
             discovery=parse_address(discovery.address),
             seed=7,
-            limits=Limits(192, sockets),
+            limits=Limits(memory_mb, sockets),
             settings=read_settings(dict(flatten_settings(settings(**changes)))),
             listing_reader=listing_reader,
             cached_listing=listing_reader.read(listing(1, *rows)) if has_cached_list else None,
