--- a/load_balancer/state/request_records.py
+++ b/load_balancer/state/request_records.py
@@ -65,6 +65,7 @@
         in_flight: the number of attempts in flight.
         queued: whether the request is in the queue.
         queued_until: the time when the request's queue timeout passes.
+        queue_entry: the number of the request's latest entry in the queue.
         response_started: whether a streamed response has begun.
     """
 
@@ -80,6 +81,7 @@
     in_flight: int = 0
     queued: bool = False
     queued_until: float = 0.0
+    queue_entry: int = 0
     response_started: bool = False
 
     def repeatable(self) -> bool:
