Handle the requests of one read in turns, and answer those behind a rejected one

Cause: one iteration handled all requests of all readable clients. Evidence: test_requests_of_one_read_are_handled_in_turns failed (all turns of an iteration doubled in the first form), and test_requests_behind_one_that_a_limit_rejects_are_answered timed out while an incomplete request was refused with a close. A connection closes by a limit or a drain only if nothing has arrived behind the request, and the body of a dropped request is read to its end. Bodies are kept in parts, as growing ones left gaps in memory.

--- a/load_balancer/proxy/downstream/connection.py
+++ b/load_balancer/proxy/downstream/connection.py
@@ -71,8 +71,10 @@
         "_discarded_bytes",
         "_linger_timer",
         "_open_requests_timer",
+        "_parsed_requests",
         "_reader",
         "_responses",
+        "_unparsed_input",
         "_waits_for_turn",
         "answered",
         "last_input_at",
@@ -93,9 +95,11 @@
         self.answered = False
         self.received_api_request = False
         self.write_paused = False
+        self._parsed_requests: list[HttpMessage] = []  # complete requests that are not accepted yet
         self._reader = HttpReader(self._on_request, requests=True)
         self._responses = ResponseQueue()
         self._arrival = ArrivalBound(owner.iterations, accepted_after)
+        self._unparsed_input = b""  # follows the last request, and waits for its turn
         self._waits_for_turn = False
         self._discarded_bytes = 0
         self._linger_timer: asyncio.TimerHandle | None = None
@@ -117,16 +121,22 @@
         return self.transport.has_unsent_output() or bool(self._responses) or self.phase is RECEIVING
 
     def has_unread_input(self) -> bool:
-        """Return whether unread input has arrived while the connection still accepts requests."""
-        return self.state is ACCEPTING_REQUESTS and self.transport.has_unread_input()
+        """Return whether input waits to be read or parsed while the connection still accepts requests."""
+        if self.state is not ACCEPTING_REQUESTS:
+            return False
+        return bool(self._unparsed_input) or self.transport.has_unread_input()
 
-    def must_close_after(self, slot: ResponseSlot) -> bool:
-        """Return whether draining requires the connection to close after the response in this slot.
+    def may_close_after(self, slot: ResponseSlot) -> bool:
+        """Return whether the connection may close after the response in this slot.
 
-        No response can follow a response that closes the connection.  So if later requests on the connection
-        are open, the response in this slot leaves the connection open.
+        No response can follow a response that closes the connection.  So the connection stays open if later
+        requests on it are open, or if input has arrived that may contain such requests.
         """
-        return self.owner.draining and self._responses.is_last(slot)
+        return self._responses.is_last(slot) and not self.has_unread_input()
+
+    def must_close_after(self, slot: ResponseSlot) -> bool:
+        """Return whether draining requires the connection to close after the response in this slot."""
+        return self.owner.draining and self.may_close_after(slot)
 
     # Reading requests.
 
@@ -144,39 +154,76 @@
     def buffer_updated(self, nbytes: int) -> None:
         """Handle a piece of input in the buffer; called by the event loop."""
         if nbytes >= BULK_READ_BYTES:
-            self._waits_for_turn = True
-            self.owner.pacer.wait_for_turn(self)
+            self._wait_for_turn()
         if self.state is ACCEPTING_REQUESTS:
-            self._parse(self.owner.pacer.read_buffer[:nbytes])
+            self._record_input()
+            self._handle_input(bytes(self.owner.pacer.read_buffer[:nbytes]))
         else:
             # The input is read only to detect a close by the client, and only up to MAX_DISCARDED_BYTES.
             self._discarded_bytes += nbytes
         self._update_reading()
 
+    def _handle_input(self, data: bytes) -> None:
+        if self.owner.pacer.may_handle_now():
+            self._parse(data)
+        else:
+            self._unparsed_input = data
+            self._wait_for_turn()
+
+    def _wait_for_turn(self) -> None:
+        self._waits_for_turn = True
+        self.owner.pacer.wait_for_turn(self)
+
     def continue_reading(self) -> None:
-        """Read the next piece of bulk input; called by the pacer."""
+        """Parse the next request of the input that was read, or else read more input; called by the pacer."""
         self._waits_for_turn = False
+        if self._unparsed_input and not self.write_paused:
+            self._parse(self._unparsed_input)
         self._update_reading()
 
-    def _parse(self, data: memoryview) -> None:
+    def _record_input(self) -> None:
         self._arrival.record_input()
         if not self.answered:
             self._arrival.extend_to_backlog(self.waiting_since)
         self.last_input_at = self.owner.now()
         if self.answered and self.phase is IDLE:
             self.waiting_since = self.last_input_at
+
+    def _parse(self, data: bytes) -> None:
+        """Parse input up to the end of one request, and accept the request.
+
+        The rest of the input waits for its turn.  A client may send many small requests at once, whose cost
+        is in their number and not in their bytes.
+        """
+        self._unparsed_input = b""
+        error_status = 0
         try:
-            self._reader.feed(data)
+            self._unparsed_input = self._reader.feed_message(data)
         except HttpMessageError as error:
-            self.respond_with_error(error.status)
+            error_status = error.status
         except Exception:
             log.exception("request_read_failed")
-            self.respond_with_error(500)
+            error_status = 500
+        self._accept_parsed_requests()
+        if error_status:
+            self.respond_with_error(error_status)
         if self.state is ACCEPTING_REQUESTS:
+            if self._unparsed_input:
+                self._wait_for_turn()
             self.owner.memory.set_incomplete(self, self._reader.held_bytes)
             self.owner.shed_incomplete_requests()
 
     def _on_request(self, message: HttpMessage) -> None:
+        """Keep a complete request until the parser has returned; called by the reader."""
+        self._parsed_requests.append(message)
+
+    def _accept_parsed_requests(self) -> None:
+        parsed, self._parsed_requests = self._parsed_requests, []
+        for message in parsed:
+            if self.state is ACCEPTING_REQUESTS:
+                self._accept(message)
+
+    def _accept(self, message: HttpMessage) -> None:
         slot = ResponseSlot(self, not message.keep_alive, self._arrival.earliest_s)
         self._responses.append(slot)
         if slot.close_after:
@@ -196,6 +243,10 @@
         """Accept no further request, either from the input that is being parsed or from later input."""
         if self.state is ACCEPTING_REQUESTS:
             self.state = INPUT_ENDED
+        self._stop_reading_requests()
+
+    def _stop_reading_requests(self) -> None:
+        self._unparsed_input = b""
         self._reader.stop()
 
     def eof_received(self) -> bool:
@@ -219,7 +270,7 @@
     def _end_requests(self) -> None:
         """Read no further request, and abandon those that are open, because the client has left."""
         self.state = FINISHED
-        self._reader.stop()
+        self._stop_reading_requests()
         self._responses.abandon_all()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -289,6 +340,18 @@
                 OPEN_REQUESTS_TIMEOUT_S, self._responses.fail_open_requests, status
             )
 
+    def refuse_incomplete_request(self, status: int, extra_headers: bytes) -> None:
+        """Drop what has been read of a request that is not complete, to free its memory.
+
+        If its head is complete, the rest of its body is still read, so that it is answered when it is
+        complete and requests behind it can be read.  Otherwise it is answered now, and the connection closes.
+        """
+        if self.state is ACCEPTING_REQUESTS and self._reader.in_body:
+            self._reader.drop_content()
+            self.owner.memory.set_incomplete(self, 0)
+        else:
+            self.respond_with_error(status, extra_headers=extra_headers)
+
     def _finish(self) -> None:
         """Start to close the connection after its last response has been written.
 
@@ -350,6 +413,8 @@
         """Resume reading when the client reads its responses again; called by the event loop."""
         self.write_paused = False
         self._count_unread_output()
+        if self._unparsed_input:
+            self._wait_for_turn()
         self._update_reading()
 
     def _count_unread_output(self) -> None:
@@ -359,7 +424,7 @@
         """Pause or resume reading, to limit the memory that one client can use.
 
         Reading pauses while the client does not read its responses, while PAUSE_READING_AT requests are open,
-        after MAX_DISCARDED_BYTES of discarded input, and while bulk input waits for its turn.  This method
+        after MAX_DISCARDED_BYTES of discarded input, and while input waits for its turn.  This method
         also updates the position of the connection in the eviction queues.
         """
         self.owner.table.refresh_eviction(self)
@@ -368,6 +433,7 @@
         if (
             self.write_paused
             or self._waits_for_turn
+            or self._unparsed_input
             or self._discarded_bytes > MAX_DISCARDED_BYTES
             or len(self._responses) >= PAUSE_READING_AT
         ):
--- a/load_balancer/proxy/downstream/request_router.py
+++ b/load_balancer/proxy/downstream/request_router.py
@@ -59,6 +59,9 @@
         Raises:
             HttpMessageError: the request is invalid, or the node does not serve its path or method.
         """
+        if message.is_dropped:
+            self._reject(slot)
+            return True
         path = message.target.partition(b"?")[0]
         if path == b"/ready":
             if message.method != b"GET":
@@ -70,14 +73,19 @@
         request = self._parser.parse(message, path)
         cost_bytes = REQUEST_OVERHEAD_BYTES + message.head_cost_bytes + len(message.body)
         if self.rejects_all or self._is_over_limit() or not self._memory.has_room_for(cost_bytes):
-            slot.close_after = True
-            slot.respond(503, extra_headers=OVERLOAD_RETRY_AFTER)
+            self._reject(slot)
             return True
         slot.reserved_bytes = cost_bytes
         self._memory.reserve(cost_bytes)
         self._accept_request(request, slot)
         return True
 
+    @staticmethod
+    def _reject(slot: ResponseSlot) -> None:
+        """Answer a request that is not accepted for lack of capacity."""
+        slot.close_if_last()
+        slot.respond(503, extra_headers=OVERLOAD_RETRY_AFTER)
+
     def release_memory(self, slot: ResponseSlot) -> None:
         """Stop counting the request of this slot towards the limit on memory."""
         self._memory.release(slot.reserved_bytes)
--- a/load_balancer/proxy/downstream/response_slot.py
+++ b/load_balancer/proxy/downstream/response_slot.py
@@ -21,9 +21,15 @@
     def end_after_client_left(self) -> None:
         """End all requests of the connection and close it."""
 
+    def may_close_after(self, slot: ResponseSlot) -> bool:
+        """Return whether no request follows the one of this slot, so that the connection may close."""
+
     def must_close_after(self, slot: ResponseSlot) -> bool:
         """Return whether the connection must close after the response in this slot."""
 
+    def end_input(self) -> None:
+        """Accept no further request on the connection."""
+
     def release_memory(self, slot: ResponseSlot) -> None:
         """Stop counting the request of this slot towards the limit on memory."""
 
@@ -78,6 +84,10 @@
             self._connection.end_after_client_left()
         return self.abandoned
 
+    def close_if_last(self) -> None:
+        """Close the connection after this response, unless a further request on it has arrived."""
+        self.close_after = self.close_after or self._connection.may_close_after(self)
+
     def respond(self, status: int, body: bytes = b"", extra_headers: bytes = b"") -> None:
         """Set the response, which is sent in order, unless the slot is abandoned or already has a response.
 
@@ -89,6 +99,8 @@
         if self.abandoned or self.output is not None:
             return
         self.close_after = self.close_after or self._connection.must_close_after(self)
+        if self.close_after:
+            self._connection.end_input()
         self._connection.release_memory(self)
         self.status = status
         self.output = render_response(status, body, extra_headers, close=self.close_after)
--- a/load_balancer/proxy/downstream/server.py
+++ b/load_balancer/proxy/downstream/server.py
@@ -201,4 +201,4 @@
         """
         while (connection := self.memory.excess_holder()) is not None:
             self.counters.shed_incomplete += 1
-            connection.respond_with_error(503, extra_headers=OVERLOAD_RETRY_AFTER)
+            connection.refuse_incomplete_request(503, OVERLOAD_RETRY_AFTER)
--- a/load_balancer/proxy/http/reader.py
+++ b/load_balancer/proxy/http/reader.py
@@ -25,10 +25,17 @@
 MAX_PARSED_BYTES = 16 * 1024
 # The memory in bytes that a header takes beside its characters: two objects and an entry in a dictionary.
 HEADER_OVERHEAD_BYTES = 200
+# A chunked message is parsed in pieces of at most this size where its end matters.
+CHUNKED_SPLIT_BYTES = 512
+# Parts of a body that are smaller than half of this size are joined up to this size.
+BODY_PART_BYTES = 4 * 1024
 # Matches a valid request id or idempotency key.  The node forwards both unchanged, so it accepts only visible
 # ASCII characters in them.
 TOKEN_PATTERN = re.compile(rb"[!-~]{1,256}")
 
+_BLANK_LINE = b"\r\n\r\n"  # with the line break before it
+_LINE_BREAKS = re.compile(rb"[\r\n]*")
+
 _HEAD_TOO_LARGE = "the head is too large"
 _TOO_MANY_HEADERS = "the message has too many headers or trailers"
 _BODY_TOO_LARGE = "the body is too large"
@@ -62,6 +69,7 @@
         body: the body, without the chunk sizes and chunk delimiters of a chunked message.
         keep_alive: whether the connection may carry another message.
         head_cost_bytes: the memory that the target and the headers take, with the overhead of each header.
+        is_dropped: whether the headers and the body were dropped before the message was complete.
     """
 
     target: bytes = b""
@@ -72,6 +80,7 @@
     body: bytes = b""
     keep_alive: bool = False
     head_cost_bytes: int = 0
+    is_dropped: bool = False
 
 
 class MessageHandler(Protocol):
@@ -145,12 +154,15 @@
 
     __slots__ = (
         "_body",
+        "_body_bytes",
         "_body_length",
+        "_body_read",
         "_failure",
         "_has_input_after_stop",
         "_head_size",
         "_header_count",
         "_input_left",
+        "_is_complete",
         "_message",
         "_on_message",
         "_parser",
@@ -173,10 +185,14 @@
         self._head_size = 0
         self._header_count = 0
         self._message: HttpMessage | None = None  # the message being read; None between messages
-        # The part of the body that has been read; empty between messages.  It is not a list of parts, because
-        # a body in small chunks would take many times its size.
-        self._body = bytearray()
+        # The parts of the body that have been read; empty between messages.  Small parts are joined, because
+        # a body in small chunks would take many times its size.  Large ones are not: the bodies of many
+        # clients that grew side by side would leave gaps in the process's memory.
+        self._body: list[bytes | bytearray] = []
+        self._body_bytes = 0
+        self._body_read = 0  # the size of the part of the body that has been read, even if it was dropped
         self._body_length: int | None = None  # by Content-Length; None if the end is found in another way
+        self._is_complete = False  # whether a message is complete since feed_message() was called
         self._stopped = False
         self._has_input_after_stop = False
 
@@ -193,10 +209,10 @@
     @property
     def held_bytes(self) -> int:
         """The memory that the incomplete message takes; 0 between messages."""
-        if self._message is None:
+        if self._message is None or self._message.is_dropped:
             return 0
         unfinished_bytes = MAX_HEAD_BYTES - self._input_left
-        return self._head_cost_bytes() + max(unfinished_bytes - self._head_size, 0) + len(self._body)
+        return self._head_cost_bytes() + max(unfinished_bytes - self._head_size, 0) + self._body_bytes
 
     def _head_cost_bytes(self) -> int:
         return self._head_size + HEADER_OVERHEAD_BYTES * self._header_count
@@ -216,34 +232,44 @@
             if self._has_input_after_stop:
                 return
 
-    def feed_until_stopped(self, data: bytes) -> bytes:
-        """Parse a piece of input like ``feed``, but no further than to the message that stops the reader.
+    def feed_message(self, data: bytes) -> bytes:
+        """Parse a piece of input like ``feed``, but only up to the end of one message.
 
-        The callback stops the reader.  The parser does not tell where in the input a message ends, so the
-        input is split there before it is parsed: a head after each of its lines, a body by Content-Length.
+        The parser does not tell where in the input a message ends, so the input is split there before it is
+        parsed.  The end of a chunked message is not known before: up to CHUNKED_SPLIT_BYTES behind it are
+        parsed too, unless the callback stops the reader.  A stopped reader parses nothing.
 
         Returns:
-            The input after the message.  It is empty if a chunked message stops the reader; then
-            ``has_input_after_stop`` tells whether more input followed.
+            The input after the message, or nothing if no message is complete.
 
         Raises:
             HttpMessageError: the input is malformed or exceeds a limit.  The reader cannot be used any more.
         """
         view = memoryview(data)
         begin = 0
-        while begin < len(data) and not self._stopped:
+        self._is_complete = False
+        while begin < len(data) and not (self._is_complete or self._stopped):
             end = self._next_split(data, begin)
             self.feed(view[begin:end])
             begin = end
         return data[begin:]
 
     def _next_split(self, data: bytes, begin: int) -> int:
-        """Return a position after ``begin`` that is not behind the end of the message there."""
+        """Return a position after ``begin`` that is not behind the end of the message, if that is known."""
         if self._state is _HEAD:
+            return self._split_in_head(data, begin)
+        if self._body_length is not None:
+            return min(len(data), begin + self._body_length - self._body_read)
+        return min(len(data), begin + CHUNKED_SPLIT_BYTES)
+
+    def _split_in_head(self, data: bytes, begin: int) -> int:
+        if self._message is not None and data[begin] in _BLANK_LINE:
+            # The line break may be the rest of the blank line that ends the head.
             return data.find(b"\n", begin) + 1 or len(data)
-        if self._body_length is None:
-            return len(data)
-        return min(len(data), begin + self._body_length - len(self._body))
+        line_breaks = _LINE_BREAKS.match(data, begin)
+        assert line_breaks is not None  # the pattern matches the empty string
+        blank_line = data.find(_BLANK_LINE, line_breaks.end())
+        return len(data) if blank_line < 0 else blank_line + len(_BLANK_LINE)
 
     def _parse(self, data: bytes | memoryview) -> None:
         self._input_left -= len(data)
@@ -264,10 +290,26 @@
         """Read no further message, not even one that follows in the piece of input that is being parsed."""
         self._stopped = True
 
+    @property
+    def in_body(self) -> bool:
+        """Whether a head has been read and its message is not complete."""
+        return self._state is not _HEAD
+
+    def drop_content(self) -> None:
+        """Drop the headers and the body of the message whose body is being read, and what follows of it.
+
+        The message is still passed on when it is complete, so that messages after it can be read.
+        """
+        assert self._message is not None
+        self._message.is_dropped = True
+        self._message.headers.clear()
+        self._message.duplicate_headers.clear()
+        self._clear_body()
+
     def discard(self) -> None:
         """Drop the incomplete message.  The reader must not be fed any more, and must not be parsing."""
         self._message = None
-        self._body.clear()
+        self._clear_body()
 
     def resume(self) -> None:
         """Read messages again after a stop.  Allowed only if ``has_input_after_stop`` is false."""
@@ -281,7 +323,7 @@
         not their size.  No other method may be called afterwards.
         """
         self._message = None
-        self._body.clear()
+        self._clear_body()
         del self._parser, self._on_message
 
     # Callbacks that httptools calls.
@@ -333,11 +375,25 @@
 
     def on_body(self, part: bytes) -> None:
         """Handle a part of the body."""
-        if len(self._body) + len(part) > MAX_BODY_BYTES:
+        self._body_read += len(part)
+        if self._body_read > MAX_BODY_BYTES:
             self._fail(413, _BODY_TOO_LARGE)
-        self._body += part
+        if self._message is not None and not self._message.is_dropped:
+            self._append_to_body(part)
         self._input_left = MAX_HEAD_BYTES
 
+    def _append_to_body(self, part: bytes) -> None:
+        self._body_bytes += len(part)
+        last = self._body[-1] if self._body else b""
+        if isinstance(last, bytearray) and len(last) + len(part) <= BODY_PART_BYTES:
+            last += part
+        else:
+            self._body.append(part if len(part) >= BODY_PART_BYTES // 2 else bytearray(part))
+
+    def _clear_body(self) -> None:
+        self._body.clear()
+        self._body_bytes = 0
+
     def on_message_complete(self) -> None:
         """Handle the end of a message."""
         if self._failure is None:
@@ -348,14 +404,16 @@
         if message is None:
             return
         self._message, self._state = None, _HEAD
-        message.body = bytes(self._body)
+        message.body = b"".join(self._body)
         message.head_cost_bytes = self._head_cost_bytes()
-        self._body.clear()
+        self._clear_body()
+        self._body_read = 0
         message.keep_alive = keep_alive
         if _is_interim(message.status):
             return  # An interim response counts towards the limits on the head of the final response.
         self._input_left = MAX_HEAD_BYTES
         self._head_size = self._header_count = 0
+        self._is_complete = True
         self._on_message(message)
 
     def end_of_input(self) -> None:
@@ -406,7 +464,7 @@
     def _fail(self, status: int, problem: str) -> NoReturn:
         """Stop parsing because of an error.  ``feed`` raises the error to its caller."""
         self._failure = _Failure(status, problem)
-        self._body.clear()
+        self._clear_body()
         raise _StopParsing
 
 
--- a/load_balancer/proxy/upstream/connection.py
+++ b/load_balancer/proxy/upstream/connection.py
@@ -12,7 +12,7 @@
 
 from load_balancer.events import Outcome
 from load_balancer.proxy.event_loop.socket_poll import poll_socket
-from load_balancer.proxy.http.headers import NOT_RUN
+from load_balancer.proxy.http.headers import CONTENT_LENGTH, NOT_RUN
 from load_balancer.proxy.http.reader import HttpMessage, HttpMessageError, HttpReader
 from load_balancer.proxy.upstream.request import UpstreamRequest
 
@@ -148,8 +148,8 @@
             self.abort()  # unsolicited bytes must not be read as the response to the next request
             return
         try:
-            surplus = self._reader.feed_until_stopped(data)
-            if not _may_follow_response(surplus):
+            surplus = self._reader.feed_message(data)
+            if self._response is not None and not _may_follow(self._response, surplus):
                 raise HttpMessageError(502, "the body is longer than Content-Length")
         except HttpMessageError as error:
             log.warning("response_malformed endpoint=%s problem=%s", self._endpoint_name, str(error))
@@ -230,13 +230,13 @@
             transport_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_QUICKACK, 1)
 
 
-def _may_follow_response(surplus: bytes) -> bool:
-    """Return whether the response before these surplus bytes may be complete.
+def _may_follow(response: HttpMessage, surplus: bytes) -> bool:
+    """Return whether the response may be complete although these bytes were received after it.
 
     A second response may follow the first one.  Any other surplus may be the rest of a body that is longer
     than its Content-Length, and cannot be distinguished from bytes that do not belong to the response.
     """
-    return not surplus or surplus.startswith(_RESPONSE_START)
+    return not surplus or CONTENT_LENGTH not in response.headers or surplus.startswith(_RESPONSE_START)
 
 
 def _outcome_of(response: HttpMessage) -> Outcome:
--- a/tests/proxy/downstream/test_connection.py
+++ b/tests/proxy/downstream/test_connection.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import itertools
 import socket
 
 import pytest
@@ -13,12 +15,13 @@
     DownstreamConnection,
 )
 from load_balancer.proxy.downstream.connection_state import ConnectionState
+from load_balancer.proxy.downstream.input_pacer import TURNS_PER_ITERATION
 from load_balancer.proxy.observability.counters import CloseReason
 from load_balancer.proxy.upstream.endpoint_pool import REUSE_DELAY_S
 from tests.proxy.async_support import TIMEOUT_S, async_test, until
 from tests.proxy.blocking_client import connect_with_small_buffers, open_requests
 from tests.proxy.node_environment import NodeEnvironment, running_node
-from tests.proxy.policy_recorder import PolicyRecorder
+from tests.proxy.policy_recorder import PolicyRecorder, ignore_events, replace_policy
 from tests.proxy.stub_client import Client, request
 from tests.proxy.stub_discovery import row
 from tests.proxy.stub_server import StubServer, reply, silent, when_released
@@ -206,3 +209,40 @@
         assert connection.transport.client_has_left()
         client.close()
         endpoint.release.set()
+
+
+@async_test
+async def test_requests_behind_one_that_a_limit_rejects_are_answered() -> None:
+    # A request that a limit of the node rejected closed the connection, so that a request behind it in the
+    # same input ran, or was at least read, and got no answer.
+    async with StubServer([silent]) as endpoint, running_node(row("a", endpoint.address)) as environment:
+        environment.node.downstream.memory.max_bytes = 40_000
+        client = await environment.connect_client()
+        requests = [request("look"), request("book", body=b"x" * 60_000), request("book"), request("book")]
+        client.writer.write(b"".join(requests))
+        await until(lambda: environment.node.counters.accepted == 3)
+        endpoint.behaviours[:] = [reply("200 OK", b"x")]
+        endpoint.release.set()
+        statuses = [(await client.read_response()).status for _ in requests]
+        assert statuses[1] == 503
+        assert not environment.node.rules.violations
+
+
+@async_test
+async def test_requests_of_one_read_are_handled_in_turns() -> None:
+    # Hundreds of clients that sent 16 small requests at once held up the event loop for a second or two,
+    # because each read of the event loop handled all requests that it brought.
+    accepted: list[int] = []  # by iteration of the event loop
+    async with running_node(row("a", "127.0.0.1:1")) as environment:
+        node = environment.node
+        replace_policy(node, ignore_events)
+        with contextlib.ExitStack() as stack:
+            clients = [stack.enter_context(socket.create_connection(environment.address)) for _ in range(10)]
+            await until(lambda: len(node.downstream.connections) == len(clients))
+            for client in clients:
+                client.sendall(open_requests(MAX_PIPELINED_REQUESTS))  # the event loop does not run
+            while node.counters.accepted < len(clients) * MAX_PIPELINED_REQUESTS:
+                accepted.append(node.counters.accepted)
+                await asyncio.sleep(0)
+    steps = [later - earlier for earlier, later in itertools.pairwise(accepted)]
+    assert max(steps) <= len(clients) + TURNS_PER_ITERATION
--- a/tests/proxy/http/test_reader.py
+++ b/tests/proxy/http/test_reader.py
@@ -169,7 +169,7 @@
 
 @pytest.mark.parametrize("surplus", [b"", b"\r\n", b"more", RESPONSE])
 @pytest.mark.parametrize("piece_bytes", [1, 2, 5, len(RESPONSE) - 1, len(RESPONSE), 1000])
-def test_input_behind_the_message_that_stops_a_reader_is_returned(surplus: bytes, piece_bytes: int) -> None:
+def test_input_behind_a_message_is_returned(surplus: bytes, piece_bytes: int) -> None:
     # The rest of a body whose Content-Length is too small has to be told from the end of the input.
     messages: list[HttpMessage] = []
 
@@ -180,7 +180,7 @@
     reader = HttpReader(handle_message, requests=False)
     stream = RESPONSE + surplus
     returned = b"".join(
-        reader.feed_until_stopped(stream[begin : begin + piece_bytes])
+        reader.feed_message(stream[begin : begin + piece_bytes])
         for begin in range(0, len(stream), piece_bytes)
     )
     assert returned == surplus
