Remember the ids of requests that may have run and must not run again

Cause: the reservation of an id ends with the last attempt, and a cancelled attempt ends for the node but not for the server. Change: when the last reservation goes, the id of a request that may have run and is not safe to repeat is remembered, up to a fiftieth of the memory limit, and answered 409. This works because every attempt is recorded before it is written.

--- a/load_balancer/proxy/attempts.py
+++ b/load_balancer/proxy/attempts.py
@@ -163,7 +163,7 @@
         """
         self._counters.outcomes[outcome] += 1
         request.guard.record_outcome(attempt.number, outcome)
-        self._table.release(request.client_id)
+        self._table.release(request)
         request_id = attempt.request_id
         self._table.remove_attempt(attempt)
         served: PendingRequest | None = None
--- a/load_balancer/proxy/node.py
+++ b/load_balancer/proxy/node.py
@@ -17,6 +17,7 @@
 from load_balancer.proxy.endpoint_updates import EndpointUpdates
 from load_balancer.proxy.event_loop.clock import Clock
 from load_balancer.proxy.event_loop.loop_iterations import LoopIterations
+from load_balancer.proxy.executed_ids import ExecutedIds
 from load_balancer.proxy.lifecycle.configuration_reload import ConfigurationReload
 from load_balancer.proxy.lifecycle.graceful_shutdown import GracefulShutdown
 from load_balancer.proxy.lifecycle.readiness import Readiness
@@ -38,6 +39,8 @@
 # The fraction of the memory limit that clients may make the node hold: open and incomplete requests, and
 # responses that are not read.  The rest is for the program, the endpoint list and the buffers of endpoints.
 CLIENT_MEMORY_FRACTION = 0.25
+# The fraction of the memory limit that the ids of requests which must not run again may take.
+EXECUTED_IDS_MEMORY_FRACTION = 0.02
 
 
 class Node:
@@ -59,7 +62,8 @@
         shutdown_deadline = ShutdownDeadline(max(c.deadline_ms for c in settings.classes) / 1000.0)
         self._iterations = LoopIterations()
         self._driver = PolicyDriver(policy, clock, self._iterations)
-        self._table = RequestTable()
+        memory_bytes = 1_000_000 * config.limits.memory_mb
+        self._table = RequestTable(ExecutedIds(int(EXECUTED_IDS_MEMORY_FRACTION * memory_bytes)))
         self._counters = NodeCounters()
         self._rules = RuleMonitor()
         self._counter_report = CounterReport(self._counters, self._rules)
--- a/load_balancer/proxy/request_guard.py
+++ b/load_balancer/proxy/request_guard.py
@@ -89,6 +89,12 @@
         if attempt is not None:
             attempt.outcome = outcome
 
+    def must_not_run_again(self) -> bool:
+        """Return whether the request may have run, and its class does not allow it to run anywhere again."""
+        if self._class.idempotency is Idempotency.IDEMPOTENT:
+            return False
+        return any(attempt.may_have_run() for attempt in self._written.values())
+
     def may_reject(self) -> bool:
         """Return whether the request may be rejected, which requires that a retry by the client is safe."""
         if self._class.idempotency is Idempotency.IDEMPOTENT:
--- a/load_balancer/proxy/request_handler.py
+++ b/load_balancer/proxy/request_handler.py
@@ -76,12 +76,14 @@
         """Accept a valid request, whose client must then get exactly one response.
 
         Raises:
-            HttpMessageError: a request with the same id is open.
+            HttpMessageError: a request with the same id is open, or may have run and must not run again.
         """
         client_id = parsed.message.headers[REQUEST_ID]
         if self._table.is_reserved(client_id):
             # An endpoint could not distinguish two requests with the same id and might confuse their results.
             raise HttpMessageError(409, "a request with this id is open")
+        if self._table.may_have_run(client_id):
+            raise HttpMessageError(409, "a request with this id may have run")
         self._table.reserve(client_id)
         now = self._clock.now()
         request_id = self._table.next_id()
--- a/load_balancer/proxy/request_table.py
+++ b/load_balancer/proxy/request_table.py
@@ -9,6 +9,7 @@
 
 from load_balancer.events import EndpointId, RequestId
 from load_balancer.proxy.downstream.response_slot import ResponseSlot
+from load_balancer.proxy.executed_ids import ExecutedIds
 from load_balancer.proxy.http.headers import REQUEST_ID
 from load_balancer.proxy.http.reader import HttpMessage
 from load_balancer.proxy.request_guard import RequestGuard
@@ -63,10 +64,17 @@
     """Holds the open requests, and the attempts in flight of open and of finished requests.
 
     A client id is reserved while its request is open or an attempt of it is in flight, so that two requests
-    with the same id cannot run at the same time.
+    with the same id cannot run at the same time.  Afterwards it is remembered if the request may have run and
+    its class forbids that it runs again.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, executed_ids: ExecutedIds) -> None:
+        """Create an empty table.
+
+        Args:
+            executed_ids: remembers the ids of requests that must not run again.
+        """
+        self._executed_ids = executed_ids
         self._pending: dict[RequestId, PendingRequest] = {}
         self._finished: dict[RequestId, PendingRequest] = {}
         self._attempts: dict[tuple[RequestId, int], UpstreamRequest] = {}
@@ -96,6 +104,10 @@
 
     # Client ids.
 
+    def may_have_run(self, client_id: bytes) -> bool:
+        """Return whether a request with this client id may have run and must not run again."""
+        return client_id in self._executed_ids
+
     def is_reserved(self, client_id: bytes) -> bool:
         """Return whether a request with this client id is open or has an attempt in flight."""
         return client_id in self._reserved
@@ -104,11 +116,18 @@
         """Reserve the client id for one more request or attempt."""
         self._reserved[client_id] = self._reserved.get(client_id, 0) + 1
 
-    def release(self, client_id: bytes) -> None:
-        """Release one reservation of the client id, which may be used again when no reservation is left."""
+    def release(self, request: PendingRequest) -> None:
+        """Release one reservation of the request's client id.
+
+        When no reservation is left, the id may be used again, unless the request must not run again.
+        """
+        client_id = request.client_id
         self._reserved[client_id] -= 1
-        if not self._reserved[client_id]:
-            del self._reserved[client_id]
+        if self._reserved[client_id]:
+            return
+        del self._reserved[client_id]
+        if request.guard.must_not_run_again():
+            self._executed_ids.add(client_id)
 
     # Requests.
 
@@ -139,7 +158,7 @@
         if request is not None:
             request.deadline_timer.cancel()
             request.slot.on_abandoned = None
-            self.release(request.client_id)
+            self.release(request)
             if remember:
                 self._finished[request_id] = request
         return request
