--- a/tests/proxy/test_endpoint_updates.py
+++ b/tests/proxy/test_endpoint_updates.py
@@ -11,7 +11,7 @@
 from load_balancer.events import EndpointListKind, EndpointListUpdate, EndpointState, Event
 from tests.proxy.async_support import TIMEOUT_S, async_test, until
 from tests.proxy.node_environment import running_node
-from tests.proxy.policy_recorder import PolicyRecorder, replace_policy
+from tests.proxy.policy_recorder import PolicyRecorder, ignore_events, replace_policy
 from tests.proxy.stub_discovery import listing, row, send_line
 from tests.proxy.stub_server import StubServer, reply
 
@@ -142,3 +142,30 @@
             and [event.version for event in recorder.events if isinstance(event, EndpointListUpdate)]
         )
         assert versions[-2] == 4, "the changes before the failure were not applied"
+
+
+@async_test
+async def test_endpoint_that_drains_during_the_pause_gets_no_request() -> None:
+    async with (
+        StubServer([reply("200 OK", b"a")]) as endpoint_a,
+        StubServer([reply("200 OK", b"b")]) as endpoint_b,
+        running_node(row("a", endpoint_a.address)) as environment,
+    ):
+        recorder = PolicyRecorder(environment.node)
+        node_handle = replace_policy(environment.node, ignore_events)
+
+        def handle_slowly(event: Event, now: float) -> list[Action]:
+            if isinstance(event, EndpointListUpdate):
+                _use_processor(0.02)
+            return node_handle(event, now)
+
+        replace_policy(environment.node, handle_slowly)
+        watch = await environment.discovery.watch()
+        send_line(watch, listing(2, row("b", endpoint_b.address), reset=False))
+        send_line(watch, listing(3, row("a", endpoint_a.address, "DRAINING"), reset=False))
+        await until(lambda: environment.endpoint_discovery.version == 3)
+        versions = [event.version for event in recorder.events if isinstance(event, EndpointListUpdate)]
+        assert versions == [2], "the policy must not have the second change yet"
+        client = await environment.connect_client()
+        assert {(await client.fetch("look")).body for _ in range(5)} == {b"b"}
+        assert not endpoint_a.received
