Repeat a keyed request only at the process that the list names

Cause: until the list tells, the old entry stands for whatever listens at the address, and a retry may open a new connection. Change: the pool records when connections are reset, end within a request or are refused; for 6 s a connection that was established after that carries no repeat of a keyed request, unless all servers discard it. This works because a connection is bound to its process, and a node is told of a new process within 6 s. The broken guards of the fault test edit the new line.

--- a/fault_soak/mutations.py
+++ b/fault_soak/mutations.py
@@ -58,7 +58,11 @@
 EVENTS = "load_balancer/events.py"
 
 WITHOUT_LAST_CHECK = (
-    Edit(ATTEMPTS, "rule = request.guard.check_write(endpoint, now_ms)", "rule = None"),
+    Edit(
+        ATTEMPTS,
+        "rule = request.guard.check_write(endpoint, now_ms, to_listed_process=to_listed_process)",
+        "rule = None",
+    ),
     Edit(
         REQUEST_HANDLER, "request is not None and not request.guard.may_reject()", "request is None and True"
     ),
--- a/load_balancer/proxy/attempts.py
+++ b/load_balancer/proxy/attempts.py
@@ -34,13 +34,16 @@
         """Return whether the client is still connected."""
         return not self._request.slot.client_has_left()
 
-    def may_write(self) -> bool:
+    def may_write(self, *, to_listed_process: bool) -> bool:
         """Check the attempt right before it is written, and record it as written if the check passes.
 
+        Args:
+            to_listed_process: whether the connection leads to the process that is listed.
+
         Returns:
             Whether the attempt may be written.
         """
-        return self._sender.may_write(self._attempt, self._request)
+        return self._sender.may_write(self._attempt, self._request, to_listed_process)
 
     def on_end(self, outcome: Outcome, response: HttpMessage | None) -> None:
         """Report the outcome to the AttemptSender."""
@@ -130,20 +133,26 @@
         )
         self._table.add_attempt(attempt, upstream_request)
 
-    def may_write(self, attempt: Attempt, request: PendingRequest) -> bool:
+    def may_write(self, attempt: Attempt, request: PendingRequest, to_listed_process: bool) -> bool:
         """Check an attempt right before it is written, and record it as written if the check passes.
 
+        Args:
+            attempt: the attempt.
+            request: the request of the attempt.
+            to_listed_process: whether the connection leads to the process that is listed.
+
         Returns:
             Whether the attempt may be written.
         """
         now_ms = self._clock.now()
         endpoint = self._pools.serving_endpoint(attempt.endpoint_id)
-        rule = request.guard.check_write(endpoint, now_ms)
+        rule = request.guard.check_write(endpoint, now_ms, to_listed_process=to_listed_process)
         if attempt.request_id not in self._table:
             rule = Rule.FINISHED
-        if rule is Rule.OUTSIDE_WINDOW:
+        if rule is Rule.OUTSIDE_WINDOW or rule is Rule.UNKNOWN_PROCESS:
             # This is not a fault of the policy: because of a delay on the node's own machine, the connection
-            # was established only after the deduplication window had ended.
+            # was established only after the deduplication window had ended, or the policy does not know to
+            # which process it was established.
             self._counters.withheld += 1
             return False
         if rule is not None or endpoint is None:
--- a/load_balancer/proxy/observability/counters.py
+++ b/load_balancer/proxy/observability/counters.py
@@ -46,7 +46,8 @@
         finished: requests that were rejected or failed, by reason.
         written: attempts whose bytes were written to a connection.
         shed_incomplete: requests that were refused before they were complete, for lack of memory.
-        withheld: attempts that were not written because the deduplication window of their key had ended.
+        withheld: attempts that were not written because the deduplication window of their key had ended, or
+            because a process that does not know their key may have come up at the endpoint's address.
         outcomes: attempts that have ended, by outcome.
         closed: client connections that the node closed, by reason.
     """
--- a/load_balancer/proxy/observability/rule_monitor.py
+++ b/load_balancer/proxy/observability/rule_monitor.py
@@ -21,6 +21,9 @@
     OUTSIDE_SCOPE = "outside_scope"
     """The endpoint is not in the deduplication scope of the endpoint that may have run the request."""
 
+    UNKNOWN_PROCESS = "unknown_process"
+    """A process that does not know the idempotency key may have come up at the endpoint's address."""
+
     CONCURRENT = "concurrent"
     """An earlier attempt is in flight, and the settings forbid hedging."""
 
--- a/load_balancer/proxy/request_guard.py
+++ b/load_balancer/proxy/request_guard.py
@@ -44,12 +44,15 @@
         self._class: RequestClass = settings.classes[class_index]
         self._written: dict[int, WrittenAttempt] = {}
 
-    def check_write(self, endpoint: Endpoint | None, now_ms: float) -> Rule | None:
+    def check_write(
+        self, endpoint: Endpoint | None, now_ms: float, *, to_listed_process: bool = True
+    ) -> Rule | None:
         """Check whether an attempt may be written now.
 
         Args:
             endpoint: the endpoint of the attempt; None if it is not listed as serving.
             now_ms: the current time on the node's clock.
+            to_listed_process: whether the connection leads to the process that is listed.
 
         Returns:
             The rule that the write would violate, or None if the write is allowed.
@@ -62,7 +65,19 @@
         if in_flight and not self._settings.hedging_allowed:
             return Rule.CONCURRENT
         possible_runs = [attempt for attempt in self._written.values() if attempt.may_have_run()]
-        return self._check_repeat(possible_runs[0], endpoint, now_ms) if possible_runs else None
+        if not possible_runs:
+            return None
+        rule = self._check_repeat(possible_runs[0], endpoint, now_ms)
+        if rule is None and not to_listed_process and self._depends_on_process():
+            return Rule.UNKNOWN_PROCESS
+        return rule
+
+    def _depends_on_process(self) -> bool:
+        """Return whether only some processes know the idempotency key, so that another would run it again."""
+        return (
+            self._class.idempotency is Idempotency.KEYED
+            and self._class.deduplication_scope is not DeduplicationScope.ALL
+        )
 
     def _check_repeat(self, first: WrittenAttempt, endpoint: Endpoint, now_ms: float) -> Rule | None:
         if self._class.idempotency is Idempotency.IDEMPOTENT:
--- a/load_balancer/proxy/upstream/connection.py
+++ b/load_balancer/proxy/upstream/connection.py
@@ -63,8 +63,8 @@
     def connection_released(self, connection: UpstreamConnection, /) -> None:
         """Take back a connection whose request has ended and which can carry another request."""
 
-    def connection_closed(self, connection: UpstreamConnection, /) -> None:
-        """Remove a closed connection.
+    def connection_closed(self, connection: UpstreamConnection, /, *, was_reset: bool) -> None:
+        """Remove a closed connection, which the endpoint has reset if ``was_reset`` is True.
 
         Called before the outcome of a request that was in flight on the connection is reported.
         """
@@ -74,11 +74,13 @@
     """A connection to an endpoint, which carries one request at a time.  See ConnectionState.
 
     Attributes:
+        established_at: when the connection was established, in the time of the event loop.
         idle_since: when the owner last kept the connection for later requests, in the time of the event loop;
             0 if the owner has not kept it yet.
     """
 
     def __init__(self, endpoint_name: str, owner: ConnectionOwner) -> None:
+        self.established_at = 0.0
         self.idle_since = 0.0
         self._endpoint_name = endpoint_name
         self._owner = owner
@@ -140,6 +142,7 @@
         """Register the established connection with its owner."""
         self._transport = cast(asyncio.Transport, transport)  # uvloop's transports do not inherit from it
         self._state = _IDLE
+        self.established_at = self._loop.time()
         self._owner.connection_opened(self)
 
     def data_received(self, data: bytes) -> None:
@@ -177,7 +180,8 @@
 
         The outcome of the request is RESET, because the endpoint may have processed the request.
         """
-        self._owner.connection_closed(self)
+        was_reset = exc is not None and self._state is not _CLOSED
+        self._owner.connection_closed(self, was_reset=was_reset)
         self._fail(Outcome.RESET)
         self._reader.close()
 
--- a/load_balancer/proxy/upstream/connection_opener.py
+++ b/load_balancer/proxy/upstream/connection_opener.py
@@ -89,8 +89,10 @@
         except OSError as error:  # includes TimeoutError
             if local_errors.is_local(error):
                 self._back_off(waiting, error)
-            else:
-                self._give_up(waiting)
+                return
+            if isinstance(error, ConnectionError):
+                pool.continuity.record_break(self._loop.time())
+            self._give_up(waiting)
             return
         if connection.is_open():
             self._on_connected(pool, connection)
--- a/load_balancer/proxy/upstream/endpoint_pool.py
+++ b/load_balancer/proxy/upstream/endpoint_pool.py
@@ -9,6 +9,7 @@
 from load_balancer.proxy.address import Address
 from load_balancer.proxy.upstream.connection import UpstreamConnection
 from load_balancer.proxy.upstream.idle_timeout import IdleTimeout
+from load_balancer.proxy.upstream.process_continuity import ProcessContinuity
 
 # How long a connection must have been idle before it is used again.  Surplus bytes that an endpoint sends
 # after a response must not be read as the next response.  They may arrive later than the response: a delay of
@@ -27,6 +28,7 @@
         address: the host and port of the endpoint.
         endpoint: the current entry of the endpoint in the endpoint list.
         idle_timeout: how long a connection may have been idle and still be used again.
+        continuity: tells whether a connection leads to the process that is listed.
     """
 
     __slots__ = (
@@ -34,6 +36,7 @@
         "_loop",
         "_open_connections",
         "_retired",
+        "continuity",
         "address",
         "endpoint",
         "idle_timeout",
@@ -62,6 +65,7 @@
         self.address = address
         self.endpoint = endpoint
         self.idle_timeout = IdleTimeout(max_idle_timeout_s)
+        self.continuity = ProcessContinuity()
         self._open_connections = open_connections
         self._idle: list[UpstreamConnection] = []  # in the order in which they became idle
         self._retired = False
@@ -110,18 +114,28 @@
         connection.idle_since = self._loop.time()
         self._idle.append(connection)
 
-    def connection_closed(self, connection: UpstreamConnection) -> None:
+    def connection_closed(self, connection: UpstreamConnection, *, was_reset: bool) -> None:
         """Remove a closed connection; if the endpoint closed it, record how long it had been idle.
 
         For a connection with a request in flight, the idle time before that request is recorded.
+
+        Args:
+            connection: the connection.
+            was_reset: whether the connection was reset by the endpoint.
         """
         self._open_connections.discard(connection)
+        if was_reset or connection.in_use:
+            self.continuity.record_break(self._loop.time())
         if connection in self._idle:
             self._idle.remove(connection)
             self.idle_timeout.record_close(self._loop.time() - connection.idle_since)
         elif connection.in_use:
             self.idle_timeout.record_close(connection.idle_before_request_s)
 
+    def leads_to_listed_process(self, connection: UpstreamConnection) -> bool:
+        """Return whether the connection leads to the listed process, and not perhaps to its successor."""
+        return self.continuity.is_confirmed(connection.established_at, self._loop.time())
+
     # Idle connections.
 
     def take_idle(self) -> UpstreamConnection | None:
--- a/load_balancer/proxy/upstream/pools.py
+++ b/load_balancer/proxy/upstream/pools.py
@@ -103,7 +103,7 @@
     def _send_on_idle(
         self, pool: EndpointPool, connection: UpstreamConnection, request: UpstreamRequest
     ) -> None:
-        if request.outbound.may_write():
+        if request.outbound.may_write(to_listed_process=pool.leads_to_listed_process(connection)):
             connection.send(request)
             return
         pool.connection_released(connection)
--- a/load_balancer/proxy/upstream/request.py
+++ b/load_balancer/proxy/upstream/request.py
@@ -45,11 +45,15 @@
         """Return whether the response is still wanted; called while the request waits for a connection."""
         return True
 
-    def may_write(self) -> bool:
+    def may_write(self, *, to_listed_process: bool) -> bool:
         """Return whether the request may be written; called immediately before the request is written.
 
         It is not called again after it has returned True: an implementation that returns True records the
         request as written.
+
+        Args:
+            to_listed_process: whether the connection leads to the process that is listed, and not perhaps to
+                another one that has come up at its address.
         """
         return True
 
--- a/load_balancer/proxy/upstream/waiting_request.py
+++ b/load_balancer/proxy/upstream/waiting_request.py
@@ -88,7 +88,9 @@
         # The pool is retired when its process drains, is removed or restarts.  A request for that process
         # must not be sent to a process that replaces it.
         wanted = not self.pool.retired and request.has_time_left() and request.outbound.is_wanted()
-        if not wanted or not request.outbound.may_write():
+        if not wanted or not request.outbound.may_write(
+            to_listed_process=self.pool.leads_to_listed_process(connection)
+        ):
             request.end(Outcome.NOT_SENT)
             return False
         connection.send(request)
