Move the parsing of a client connection's input into a class of its own

Change: RequestInput parses one request at a time and keeps the rest; the connection keeps turns, acceptance and answers. No behaviour changes.

--- a/load_balancer/proxy/downstream/connection.py
+++ b/load_balancer/proxy/downstream/connection.py
@@ -19,9 +19,10 @@
     ConnectionPhase,
 )
 from load_balancer.proxy.downstream.input_pacer import BULK_READ_BYTES
+from load_balancer.proxy.downstream.request_input import RequestInput
 from load_balancer.proxy.downstream.response_queue import ResponseQueue
 from load_balancer.proxy.downstream.response_slot import ResponseSlot
-from load_balancer.proxy.http.reader import HttpMessage, HttpMessageError, HttpReader
+from load_balancer.proxy.http.reader import HttpMessage, HttpMessageError
 from load_balancer.proxy.observability.counters import CloseReason
 from load_balancer.proxy.observability.rule_monitor import Rule
 
@@ -69,12 +70,10 @@
     __slots__ = (
         "_arrival",
         "_discarded_bytes",
+        "_input",
         "_linger_timer",
         "_open_requests_timer",
-        "_parsed_requests",
-        "_reader",
         "_responses",
-        "_unparsed_input",
         "_waits_for_turn",
         "answered",
         "last_input_at",
@@ -95,11 +94,9 @@
         self.answered = False
         self.received_api_request = False
         self.write_paused = False
-        self._parsed_requests: list[HttpMessage] = []  # complete requests that are not accepted yet
-        self._reader = HttpReader(self._on_request, requests=True)
+        self._input = RequestInput()
         self._responses = ResponseQueue()
         self._arrival = ArrivalBound(owner.iterations, accepted_after)
-        self._unparsed_input = b""  # follows the last request, and waits for its turn
         self._waits_for_turn = False
         self._discarded_bytes = 0
         self._linger_timer: asyncio.TimerHandle | None = None
@@ -114,7 +111,7 @@
             return CLOSING
         if self._responses:
             return RESPONSE_DUE
-        return RECEIVING if self._reader.in_message else IDLE
+        return RECEIVING if self._input.in_request else IDLE
 
     def is_busy(self) -> bool:
         """Return whether output is unsent, a response is due, or a part of a request has been read."""
@@ -124,7 +121,7 @@
         """Return whether input waits to be read or parsed while the connection still accepts requests."""
         if self.state is not ACCEPTING_REQUESTS:
             return False
-        return bool(self._unparsed_input) or self.transport.has_unread_input()
+        return self._input.has_unparsed or self.transport.has_unread_input()
 
     def may_close_after(self, slot: ResponseSlot) -> bool:
         """Return whether the connection may close after the response in this slot.
@@ -157,19 +154,16 @@
             self._wait_for_turn()
         if self.state is ACCEPTING_REQUESTS:
             self._record_input()
-            self._handle_input(bytes(self.owner.pacer.read_buffer[:nbytes]))
+            self._input.keep(bytes(self.owner.pacer.read_buffer[:nbytes]))
+            if self.owner.pacer.may_handle_now():
+                self._parse_request()
+            else:
+                self._wait_for_turn()
         else:
             # The input is read only to detect a close by the client, and only up to MAX_DISCARDED_BYTES.
             self._discarded_bytes += nbytes
         self._update_reading()
 
-    def _handle_input(self, data: bytes) -> None:
-        if self.owner.pacer.may_handle_now():
-            self._parse(data)
-        else:
-            self._unparsed_input = data
-            self._wait_for_turn()
-
     def _wait_for_turn(self) -> None:
         self._waits_for_turn = True
         self.owner.pacer.wait_for_turn(self)
@@ -177,8 +171,8 @@
     def continue_reading(self) -> None:
         """Parse the next request of the input that was read, or else read more input; called by the pacer."""
         self._waits_for_turn = False
-        if self._unparsed_input and not self.write_paused:
-            self._parse(self._unparsed_input)
+        if self._input.has_unparsed and not self.write_paused:
+            self._parse_request()
         self._update_reading()
 
     def _record_input(self) -> None:
@@ -189,40 +183,20 @@
         if self.answered and self.phase is IDLE:
             self.waiting_since = self.last_input_at
 
-    def _parse(self, data: bytes) -> None:
-        """Parse input up to the end of one request, and accept the request.
-
-        The rest of the input waits for its turn.  A client may send many small requests at once, whose cost
-        is in their number and not in their bytes.
-        """
-        self._unparsed_input = b""
-        error_status = 0
-        try:
-            self._unparsed_input = self._reader.feed_message(data)
-        except HttpMessageError as error:
-            error_status = error.status
-        except Exception:
-            log.exception("request_read_failed")
-            error_status = 500
-        self._accept_parsed_requests()
-        if error_status:
-            self.respond_with_error(error_status)
+    def _parse_request(self) -> None:
+        """Parse input up to the end of one request, and accept it; the rest waits for a turn."""
+        parsed = self._input.parse_request()
+        for message in parsed.requests:
+            if self.state is ACCEPTING_REQUESTS:
+                self._accept(message)
+        if parsed.error_status:
+            self.respond_with_error(parsed.error_status)
         if self.state is ACCEPTING_REQUESTS:
-            if self._unparsed_input:
+            if self._input.has_unparsed:
                 self._wait_for_turn()
-            self.owner.memory.set_incomplete(self, self._reader.held_bytes)
+            self.owner.memory.set_incomplete(self, self._input.held_bytes)
             self.owner.shed_incomplete_requests()
 
-    def _on_request(self, message: HttpMessage) -> None:
-        """Keep a complete request until the parser has returned; called by the reader."""
-        self._parsed_requests.append(message)
-
-    def _accept_parsed_requests(self) -> None:
-        parsed, self._parsed_requests = self._parsed_requests, []
-        for message in parsed:
-            if self.state is ACCEPTING_REQUESTS:
-                self._accept(message)
-
     def _accept(self, message: HttpMessage) -> None:
         slot = ResponseSlot(self, not message.keep_alive, self._arrival.earliest_s)
         self._responses.append(slot)
@@ -243,11 +217,7 @@
         """Accept no further request, either from the input that is being parsed or from later input."""
         if self.state is ACCEPTING_REQUESTS:
             self.state = INPUT_ENDED
-        self._stop_reading_requests()
-
-    def _stop_reading_requests(self) -> None:
-        self._unparsed_input = b""
-        self._reader.stop()
+        self._input.stop()
 
     def eof_received(self) -> bool:
         """End all requests of the connection after the client has closed its side; called by the event loop.
@@ -270,7 +240,7 @@
     def _end_requests(self) -> None:
         """Read no further request, and abandon those that are open, because the client has left."""
         self.state = FINISHED
-        self._stop_reading_requests()
+        self._input.stop()
         self._responses.abandon_all()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -281,7 +251,7 @@
                 timer.cancel()
         self.owner.connection_closed(self)
         self._responses.abandon_all()
-        self._reader.close()
+        self._input.close()
 
     def release_memory(self, slot: ResponseSlot) -> None:
         """Stop counting the request of this slot towards the limit on memory."""
@@ -326,7 +296,7 @@
             extra_headers: further header lines of the response, each ending with CRLF.
         """
         self.end_input()
-        self._reader.discard()
+        self._input.discard_request()
         self.owner.memory.set_incomplete(self, 0)
         if self.state is FINISHED:
             return
@@ -346,8 +316,8 @@
         If its head is complete, the rest of its body is still read, so that it is answered when it is
         complete and requests behind it can be read.  Otherwise it is answered now, and the connection closes.
         """
-        if self.state is ACCEPTING_REQUESTS and self._reader.in_body:
-            self._reader.drop_content()
+        if self.state is ACCEPTING_REQUESTS and self._input.in_body:
+            self._input.drop_content()
             self.owner.memory.set_incomplete(self, 0)
         else:
             self.respond_with_error(status, extra_headers=extra_headers)
@@ -413,7 +383,7 @@
         """Resume reading when the client reads its responses again; called by the event loop."""
         self.write_paused = False
         self._count_unread_output()
-        if self._unparsed_input:
+        if self._input.has_unparsed:
             self._wait_for_turn()
         self._update_reading()
 
@@ -433,7 +403,7 @@
         if (
             self.write_paused
             or self._waits_for_turn
-            or self._unparsed_input
+            or self._input.has_unparsed
             or self._discarded_bytes > MAX_DISCARDED_BYTES
             or len(self._responses) >= PAUSE_READING_AT
         ):
